--- /dev/null
+++ b/cmd/mangopass/main.go
@@ -0,0 +1,4 @@
+// Command mangopass is the operators' command.
+package main
+
+func main() {}
--- /dev/null
+++ b/node/metrics/metrics.go
@@ -0,0 +1,45 @@
+// Package metrics holds the Prometheus collectors that both roles share.
+package metrics
+
+import (
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// Namespace is the prefix of all metrics.
+const Namespace = "mangopass"
+
+// NewRegistry returns a registry with the process's own metrics.
+func NewRegistry() *prometheus.Registry {
+	r := prometheus.NewRegistry()
+	r.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return r
+}
+
+// Handler serves the registry's metrics.
+func Handler(r *prometheus.Registry) http.Handler {
+	return promhttp.HandlerFor(r, promhttp.HandlerOpts{})
+}
+
+// Ring is the part of a ring that its gauges read.
+type Ring interface {
+	Name() string
+	Len() int
+	Cap() int
+}
+
+// ObserveRing registers gauges of a ring's depth and capacity, in items.
+func ObserveRing(r prometheus.Registerer, ring Ring) {
+	labels := prometheus.Labels{"ring": ring.Name()}
+	r.MustRegister(
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: Namespace, Name: "ring_depth_items", Help: "Items waiting in a ring.", ConstLabels: labels,
+		}, func() float64 { return float64(ring.Len()) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: Namespace, Name: "ring_capacity_items", Help: "Items that a ring can hold.", ConstLabels: labels,
+		}, func() float64 { return float64(ring.Cap()) }),
+	)
+}
--- /dev/null
+++ b/node/rpclink/rpclink.go
@@ -0,0 +1,69 @@
+// Package rpclink bounds net/rpc calls in time. net/rpc has neither deadlines nor cancellation, so a call that outlasts
+// its bound has an unknown outcome and its connection is dropped: a late reply can then reach nobody.
+package rpclink
+
+import (
+	"context"
+	"net"
+	"net/rpc"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrUnknown marks a call that may have taken effect at the peer.
+var ErrUnknown = errors.New("rpclink: outcome unknown")
+
+// ErrNotSent marks a call that certainly did not reach the peer.
+var ErrNotSent = errors.New("rpclink: not sent")
+
+const dialTimeout = time.Second
+
+// Link is a connection to one peer that is dialled on first use and again after a failure. It is used by one duty at a
+// time.
+type Link struct {
+	address string
+	client  *rpc.Client
+}
+
+// New returns a link to the peer's net/rpc listener at address (IP:port).
+func New(address string) *Link { return &Link{address: address} }
+
+// Call invokes a method and waits at most timeout. Errors that the method itself returned are passed on unmarked.
+func (l *Link) Call(ctx context.Context, timeout time.Duration, method string, args, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	if l.client == nil {
+		dialer := net.Dialer{Timeout: dialTimeout}
+		conn, err := dialer.DialContext(ctx, "tcp", l.address)
+		if err != nil {
+			return errors.Mark(errors.Wrapf(err, "dial %s", l.address), ErrNotSent)
+		}
+		l.client = rpc.NewClient(conn)
+	}
+	call := l.client.Go(method, args, reply, nil)
+	select {
+	case <-call.Done:
+		if call.Error == nil || isServerError(call.Error) {
+			return call.Error
+		}
+		l.Close()
+		return errors.Mark(errors.Wrapf(call.Error, "call %s at %s", method, l.address), ErrUnknown)
+	case <-ctx.Done():
+		l.Close()
+		return errors.Mark(errors.Wrapf(ctx.Err(), "call %s at %s", method, l.address), ErrUnknown)
+	}
+}
+
+// Close drops the connection. The next Call dials again.
+func (l *Link) Close() {
+	if l.client != nil {
+		_ = l.client.Close()
+		l.client = nil
+	}
+}
+
+func isServerError(err error) bool {
+	var server rpc.ServerError
+	return errors.As(err, &server)
+}
