--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -121,8 +121,7 @@
 		r := &runner{jobs: a.runs, scheduler: a.inbox, backend: backend}
 		duties.Go("run "+strconv.Itoa(i), r.run)
 	}
-	h := &heartbeats{reports: a.status, vms: a.platform, duties: duties}
-	duties.Go("heartbeats", h.run)
+	duties.Go("heartbeats", newHeartbeats(duties, a.platform, a.status).run)
 	duties.Go("config", func(ctx context.Context) {
 		confstore.Follow(ctx, a.platform, a.log, func(ctx context.Context, c *contract.Config) {
 			_ = a.inbox.Push(ctx, configInForce{config: c})
