--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-MODULES := duty fleet platform api node cmd standin
+MODULES := duty fleet platform node cmd
 PACKAGES := $(MODULES:%=./%/...)
 # Seed and number of checks of the stateful tests; CI always runs the same ones.
 SEED ?= 20261204
--- a/cmd/mangopassd/main.go
+++ b/cmd/mangopassd/main.go
@@ -1,5 +1,4 @@
-// Command mangopassd runs one process of mangopass: entry on an entry VM, agent beside a target. check validates a
-// settings file.
+// Command mangopassd runs one process of mangopass: entry on an entry VM. check validates a settings file.
 //
 // Exit codes: 0 after a planned stop that cut no request, 1 if it could not serve or had to cut requests, 2 on faulty
 // settings or arguments.
@@ -8,7 +7,6 @@
 import (
 	"context"
 	"fmt"
-	"log/slog"
 	"os"
 	"os/signal"
 	"syscall"
@@ -16,10 +14,10 @@
 	"github.com/cockroachdb/errors"
 	"github.com/jessevdk/go-flags"
 
-	"github.com/mangopass/mangopass/node/agent"
+	"github.com/mangopass/mangopass/duty"
 	"github.com/mangopass/mangopass/node/entry"
+	"github.com/mangopass/mangopass/node/logs"
 	"github.com/mangopass/mangopass/node/settings"
-	"github.com/mangopass/mangopass/platform"
 )
 
 // Exit codes.
@@ -35,90 +33,46 @@
 }
 
 type settingsOption struct {
-	Settings string `long:"settings" required:"true" description:"JSON settings file"`
+	Settings string `long:"settings" env:"MANGOPASS_BOOT" required:"true" description:"JSON settings file"`
 }
 
 type entryCommand struct{ settingsOption }
 
-type agentCommand struct{ settingsOption }
-
-type checkCommand struct {
-	settingsOption
-	Role string `long:"role" required:"true" choice:"entry" choice:"agent"`
-}
+type checkCommand struct{ settingsOption }
 
 // Execute implements flags.Commander.
 func (c *entryCommand) Execute([]string) error {
-	s, err := settings.LoadEntry(c.Settings)
+	s, err := settings.Load(c.Settings)
 	if err != nil {
 		return exitError{err, exitSettings}
 	}
-	log := logger("entry", s.ID)
-	stop, abort := signals()
-	cut, err := entry.New(s, platform.NewClient(s.Platform), log).Run(stop, abort)
+	sink := logs.NewSink()
+	writer := duty.NewGroup(context.Background())
+	writer.Go("log", func(context.Context) { sink.Run(os.Stdout) })
+	log := sink.Logger().With("node", s.ID)
+	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	cut, err := entry.New(s, log).Run(stop)
+	log.Info("stopped", "cut_requests", cut, "dropped_log_lines", sink.Dropped())
+	sink.Close()
+	writer.Stop()
 	if err != nil {
 		return exitError{err, exitFailed}
 	}
-	if len(cut) > 0 {
-		log.Error("stopped with open requests", "cut_requests", cut)
-		return exitError{errors.Newf("%d requests were cut", len(cut)), exitFailed}
+	if cut > 0 {
+		return exitError{errors.Newf("%d requests were cut", cut), exitFailed}
 	}
-	log.Info("stopped")
-	return nil
-}
-
-// Execute implements flags.Commander.
-func (c *agentCommand) Execute([]string) error {
-	s, err := settings.LoadAgent(c.Settings)
-	if err != nil {
-		return exitError{err, exitSettings}
-	}
-	log := logger("agent", s.ID)
-	stop, abort := signals()
-	drained, err := agent.New(s, platform.NewClient(s.Platform), log).Run(stop, abort)
-	if err != nil {
-		return exitError{err, exitFailed}
-	}
-	if !drained {
-		log.Error("stopped with open requests")
-		return exitError{errors.New("requests were cut"), exitFailed}
-	}
-	log.Info("stopped")
 	return nil
 }
 
 // Execute implements flags.Commander.
 func (c *checkCommand) Execute([]string) error {
-	var err error
-	if c.Role == "entry" {
-		_, err = settings.LoadEntry(c.Settings)
-	} else {
-		_, err = settings.LoadAgent(c.Settings)
-	}
-	if err != nil {
+	if _, err := settings.Load(c.Settings); err != nil {
 		return exitError{err, exitSettings}
 	}
 	return nil
 }
 
-// signals returns contexts that end on the first and the second SIGTERM or SIGINT.
-func signals() (stop, abort context.Context) {
-	stop, first := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	abort, cancel := context.WithCancel(context.Background())
-	context.AfterFunc(stop, func() {
-		first()
-		again, _ := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-		context.AfterFunc(again, cancel)
-	})
-	return stop, abort
-}
-
-func logger(role, id string) *slog.Logger {
-	log := slog.New(slog.NewJSONHandler(os.Stderr, nil)).With("role", role, "id", id)
-	slog.SetDefault(log)
-	return log
-}
-
 func main() {
 	parser := flags.NewParser(nil, flags.HelpFlag|flags.PassDoubleDash)
 	for _, c := range []struct {
@@ -126,7 +80,6 @@
 		command    any
 	}{
 		{"entry", "serve callers on an entry VM", &entryCommand{}},
-		{"agent", "serve one target", &agentCommand{}},
 		{"check", "validate a settings file", &checkCommand{}},
 	} {
 		if _, err := parser.AddCommand(c.name, c.what, c.what, c.command); err != nil {
--- a/fleet/contract/request.go
+++ b/fleet/contract/request.go
@@ -1,51 +1,41 @@
 package contract
 
-import "time"
+import (
+	"time"
 
-// Request is one caller's request as the entry VM decides on it. It holds the key's hash, never the key.
-type Request struct {
-	ID             string
-	Key            KeyHash
-	HasKey         bool
-	Route          string
-	IdempotencyKey string // empty if the caller gave none
-	BodyDigest     uint64 // xxhash64 of the body
-	PromptTokens   int    // estimate
-	MaxTokens      int    // most tokens that the answer may have
-	Arrived        time.Time
-	AskedDeadline  time.Duration // zero: the route's
+	"github.com/mangopass/mangopass/duty/clock"
+)
+
+// PromptPart is one part of a prompt that requests may share, in the order of the prompt.
+type PromptPart struct {
+	ID     uint64
+	Tokens int
 }
 
-// Tokens returns what the request is charged on admission.
-func (r *Request) Tokens() float64 { return float64(r.PromptTokens + r.MaxTokens) }
+// Request is a caller's request as far as decisions need it.
+type Request struct {
+	ID      string
+	Host    string
+	Path    string
+	Key     KeyHash
+	HasKey  bool
+	Arrived clock.Instant
+	Budget  time.Duration // time that the caller waits; zero: not stated
 
-// Grant is a request that may run: for whom, on which route and until when.
-type Grant struct {
-	Organisation OrganisationID
-	Route        *Route
-	Deadline     time.Time
+	Model        ModelName   // empty for plain services
+	Adapter      AdapterName // empty: the model itself
+	PromptTokens int
+	MaxTokens    int
+	Counted      bool // the caller stated its token counts
+	Prompt       []PromptPart
+	Digest       uint64 // of path, key and body; names the request across repeats
 }
 
-// Authorise resolves the request's key and route. On an open route the organisation is empty if no valid key came
-// with the request. It does not look at rates.
-func (c *Config) Authorise(r *Request) (Grant, *Refusal) {
-	var owner OrganisationID
-	known := false
-	if r.HasKey {
-		owner, known = c.KeyOwner(r.Key)
-	}
-	route, found := c.Routes[r.Route]
-	if found && route.Open {
-		return Grant{Organisation: owner, Route: &route, Deadline: route.DeadlineFor(r.Arrived, r.AskedDeadline)}, nil
-	}
-	if !known {
-		return Grant{}, Refuse(InvalidKey, 0, "the request carries no valid key")
-	}
-	if !found {
-		return Grant{}, Refuse(RouteNotFound, 0, "there is no route %q", r.Route)
-	}
-	if !route.Allows(owner) {
-		return Grant{}, Refuse(RouteNotAllowed, 0, "the organisation may not use route %q", r.Route)
+// Deadline returns the instant at which the request must have its final answer.
+func (r *Request) Deadline(route *Route) clock.Instant {
+	bound := route.Timeout
+	if r.Budget > 0 && r.Budget < bound {
+		bound = r.Budget
 	}
-	return Grant{Organisation: owner, Route: &route, Deadline: route.DeadlineFor(r.Arrived, r.AskedDeadline)}, nil
+	return r.Arrived.Add(bound)
 }
--- a/fleet/link/link.go
+++ b/fleet/link/link.go
@@ -1,81 +1,101 @@
-// Package link holds what one process knows about the peers it talks to: their health, their load and the retries that
-// it may still spend on them. It does no I/O; the time is always an argument.
+// Package link holds what one entry VM knows about the runners and peers that it talks to: their load, their failures,
+// and the retries that it may still spend on them. It does no I/O; the time is always an argument.
 package link
 
 import (
+	"math"
 	"time"
 
-	"github.com/mangopass/mangopass/fleet/contract"
-	"github.com/mangopass/mangopass/fleet/zone"
+	"github.com/mangopass/mangopass/duty/clock"
+	"github.com/mangopass/mangopass/fleet/machine"
 )
 
-// SilentAfter is the time without a heartbeat after which an agent gets no new requests. Agents send one a second.
-const SilentAfter = 3 * time.Second
+// Load is what one entry VM has at a runner for one artifact.
+type Load struct {
+	Runner   machine.RunnerID
+	Artifact machine.Artifact
+	Running  int           // requests sent and not finished
+	Queued   time.Duration // prefill time of those that have no first event yet
+}
 
-// AgentID names the agent beside one target.
-type AgentID string
+// Figures of the judgement of runners by their answers.
+const (
+	// failureMemory is the weight of one more answer in the share of failures.
+	failureMemory = 0.2
+	// failureLimit is the share of failures from which a runner is avoided.
+	failureLimit = 0.35
+	// ejection is how long a failing runner is avoided before it gets a request again.
+	ejection = 1500 * time.Millisecond
+	// unreachableEjection is how long a runner is avoided that could not be reached at all.
+	unreachableEjection = time.Second
+	// slownessMemory is the weight of one more answer in a runner's slowness.
+	slownessMemory = 0.15
+)
 
-// Report is an agent's heartbeat: the state of its target as the agent sees it.
-type Report struct {
-	Agent      AgentID
-	Stream     string // IP:port that takes requests
-	DataCentre zone.DataCentreID
-	Service    contract.ServiceID // the plain service beside the agent; empty beside a model engine
-	Leaving    bool
-	Running    int   // requests at the target
-	Waiting    int   // requests in the agent's queue
-	Slots      int   // requests that the target runs at once
-	FreeBytes  int64 // memory that no replica or reservation holds
-	Resident   []contract.Artifact
-	OnDisk     []contract.Artifact // checkpoints that need no weight-store load
-	Generation uint64              // configuration generation in force at the agent
+// Runner is the link to one runner.
+type Runner struct {
+	boot     int64
+	own      map[machine.Artifact]*Load
+	failures float64 // decayed share of failed answers
+	avoid    clock.Instant
+	slowness float64 // decayed ratio of the time to the first event to the expected time
+	cached   *prefixes
 }
 
-// Agent is the link to one agent.
-type Agent struct {
-	report   Report
-	heard    time.Time
-	inFlight int // sent from here and not finished
-	sent     int // sent from here since the last heartbeat; the report does not count them yet
-	resident map[contract.Artifact]bool
+func newRunner(boot int64) *Runner {
+	return &Runner{boot: boot, own: make(map[machine.Artifact]*Load), slowness: 1, cached: newPrefixes()}
 }
 
-// NewAgent returns a link on which the first heartbeat has arrived.
-func NewAgent(r Report, now time.Time) *Agent {
-	a := &Agent{}
-	a.Heard(r, now)
-	return a
+// Sent counts a request that goes out.
+func (l *Runner) Sent(r machine.RunnerID, a machine.Artifact, prefill time.Duration) {
+	load := l.own[a]
+	if load == nil {
+		load = &Load{Runner: r, Artifact: a}
+		l.own[a] = load
+	}
+	load.Running++
+	load.Queued += prefill
 }
 
-// Heard applies a heartbeat.
-func (a *Agent) Heard(r Report, now time.Time) {
-	a.report = r
-	a.heard = now
-	a.sent = 0
-	a.resident = make(map[contract.Artifact]bool, len(r.Resident))
-	for _, art := range r.Resident {
-		a.resident[art] = true
+// Started counts the first event of an answer and the time that it took against the expected one.
+func (l *Runner) Started(a machine.Artifact, prefill, took, expected time.Duration) {
+	if load := l.own[a]; load != nil {
+		load.Queued = max(0, load.Queued-prefill)
+	}
+	if expected > 0 {
+		ratio := math.Min(took.Seconds()/expected.Seconds(), maxSlowness)
+		l.slowness += slownessMemory * (ratio - l.slowness)
 	}
 }
 
-// Report returns the last heartbeat.
-func (a *Agent) Report() Report { return a.report }
+// maxSlowness bounds the effect of a single answer on the judgement.
+const maxSlowness = 20
 
-// Usable reports whether new requests may be sent over the link.
-func (a *Agent) Usable(now time.Time) bool {
-	return !a.report.Leaving && now.Sub(a.heard) < SilentAfter
+// Finished counts the end of a request.
+func (l *Runner) Finished(a machine.Artifact) {
+	load := l.own[a]
+	if load == nil {
+		return
+	}
+	if load.Running--; load.Running <= 0 {
+		delete(l.own, a)
+	}
 }
 
-// Holds reports whether the artifact is resident on the target.
-func (a *Agent) Holds(art contract.Artifact) bool { return a.resident[art] }
+// Succeeded and Failed judge an answer.
+func (l *Runner) Succeeded() { l.failures -= failureMemory * l.failures }
 
-// Sent counts a request that is dispatched over the link.
-func (a *Agent) Sent() { a.inFlight++; a.sent++ }
+// Failed counts a failed answer.
+func (l *Runner) Failed(now clock.Instant) {
+	l.failures += failureMemory * (1 - l.failures)
+	if l.failures > failureLimit {
+		l.avoid = now.Add(ejection)
+		l.failures = failureLimit / 2
+	}
+}
 
-// Finished counts the end of a dispatched request.
-func (a *Agent) Finished() { a.inFlight-- }
+// Unreachable counts a failed connection.
+func (l *Runner) Unreachable(now clock.Instant) { l.avoid = now.Add(unreachableEjection) }
 
-// Load estimates the requests at the agent: its last report plus what went out from here since then.
-func (a *Agent) Load() int {
-	return max(a.report.Running+a.report.Waiting+a.sent, a.inFlight)
-}
+// Avoided reports whether the runner should get no requests while others can take them.
+func (l *Runner) Avoided(now clock.Instant) bool { return now.Before(l.avoid) }
--- /dev/null
+++ b/fleet/link/table.go
@@ -0,0 +1,206 @@
+package link
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/mangopass/mangopass/duty/clock"
+	"github.com/mangopass/mangopass/fleet/contract"
+	"github.com/mangopass/mangopass/fleet/machine"
+	"github.com/mangopass/mangopass/fleet/zone"
+)
+
+// Need is what a request asks of a runner.
+type Need struct {
+	Artifact     machine.Artifact // without a model for a plain service
+	PromptTokens int
+	Prompt       []contract.PromptPart
+	From         zone.ID
+	Exclude      []machine.RunnerID // runners at which this request has already failed
+}
+
+// Choice is the runner for a request.
+type Choice struct {
+	Runner  *machine.Runner
+	Prefill time.Duration // time that the runner needs to read what it has not cached
+	Wait    time.Duration // prefill time queued there before the request
+}
+
+// Figures of the choice.
+const (
+	// prefillTokensPerMs is the speed at which an engine reads prompts.
+	prefillTokensPerMs = 19.2
+	// runningCost is the delay that one running request adds to the next first event.
+	runningCost = 300 * time.Microsecond
+	// crossZoneCost weighs the price of bytes between zones against delay.
+	crossZoneCost = 15 * time.Millisecond
+	// serviceTime is the usual work of a plain service's request.
+	serviceTime = 15 * time.Millisecond
+	// avoidedCost is added for runners that fail.
+	avoidedCost = 10 * time.Second
+	// jitter breaks ties between nodes that choose at once.
+	jitter = 2 * time.Millisecond
+)
+
+// Table is the set of links from one entry VM to the runners, with the load that its peers report.
+type Table struct {
+	links map[machine.RunnerID]*Runner
+	peers map[string][]Load // by node
+	zones zone.Map
+	rand  *rand.Rand
+}
+
+// NewTable returns an empty table.
+func NewTable(zones zone.Map, r *rand.Rand) *Table {
+	return &Table{links: make(map[machine.RunnerID]*Runner), peers: make(map[string][]Load), zones: zones, rand: r}
+}
+
+// To returns the link to a runner. A restarted runner gets a fresh link.
+func (t *Table) To(r *machine.Runner) *Runner {
+	l := t.links[r.ID]
+	if l == nil || l.boot != r.Boot {
+		l = newRunner(r.Boot)
+		t.links[r.ID] = l
+	}
+	return l
+}
+
+// Forget drops the links to runners that are no longer known.
+func (t *Table) Forget(f *machine.Fleet) {
+	for id := range t.links {
+		if f.Get(id) == nil {
+			delete(t.links, id)
+		}
+	}
+}
+
+// SetPeer replaces what a peer has at the runners; nil forgets the peer.
+func (t *Table) SetPeer(node string, loads []Load) {
+	if loads == nil {
+		delete(t.peers, node)
+		return
+	}
+	t.peers[node] = loads
+}
+
+// Own returns what this node has at the runners.
+func (t *Table) Own() []Load {
+	out := []Load{}
+	for _, l := range t.links {
+		for _, load := range l.own {
+			out = append(out, *load)
+		}
+	}
+	return out
+}
+
+// InUse implements machine.Usage.
+func (t *Table) InUse(r machine.RunnerID, a machine.Artifact) int {
+	n := 0
+	if l := t.links[r]; l != nil && l.own[a] != nil {
+		n += l.own[a].Running
+	}
+	for _, loads := range t.peers {
+		for _, load := range loads {
+			if load.Runner == r && load.Artifact == a {
+				n += load.Running
+			}
+		}
+	}
+	return n
+}
+
+// Queued implements machine.Usage.
+func (t *Table) Queued(r machine.RunnerID) time.Duration {
+	_, queued := t.total(r)
+	return queued
+}
+
+// total returns the requests and the prefill time at a runner over all nodes.
+func (t *Table) total(r machine.RunnerID) (running int, queued time.Duration) {
+	if l := t.links[r]; l != nil {
+		for _, load := range l.own {
+			running += load.Running
+			queued += load.Queued
+		}
+	}
+	for _, loads := range t.peers {
+		for _, load := range loads {
+			if load.Runner == r {
+				running += load.Running
+				queued += load.Queued
+			}
+		}
+	}
+	return running, queued
+}
+
+// Pick chooses the runner at which the request is expected to start first. It reports false if no usable runner holds
+// what is needed.
+func (t *Table) Pick(f *machine.Fleet, n Need, now clock.Instant) (Choice, bool) {
+	var best Choice
+	lowest := time.Duration(-1)
+	chain := chains(n.Artifact, n.Prompt)
+	for _, r := range f.All() {
+		if r.Service != n.Artifact.Service || !r.Usable(now) || excluded(n.Exclude, r.ID) {
+			continue
+		}
+		if n.Artifact.Model != "" && !r.Holds(n.Artifact.Model).Ready(n.Artifact.Adapter, now) {
+			continue
+		}
+		choice := t.judge(r, n, chain)
+		cost := t.cost(choice, n, now)
+		if lowest < 0 || cost < lowest {
+			best, lowest = choice, cost
+		}
+	}
+	if best.Runner == nil {
+		return Choice{}, false
+	}
+	t.To(best.Runner).remember(chain)
+	return best, true
+}
+
+func (l *Runner) remember(chain []uint64) {
+	for _, c := range chain {
+		l.cached.add(c)
+	}
+}
+
+func excluded(list []machine.RunnerID, id machine.RunnerID) bool {
+	for _, e := range list {
+		if e == id {
+			return true
+		}
+	}
+	return false
+}
+
+func (t *Table) judge(r *machine.Runner, n Need, chain []uint64) Choice {
+	_, queued := t.total(r.ID)
+	tokens := n.PromptTokens - t.To(r).cached.cachedTokens(chain, n.Prompt)
+	return Choice{Runner: r, Prefill: PrefillTime(max(0, tokens)), Wait: queued}
+}
+
+func (t *Table) cost(c Choice, n Need, now clock.Instant) time.Duration {
+	l := t.To(c.Runner)
+	running, _ := t.total(c.Runner.ID)
+	expected := c.Wait + c.Prefill + time.Duration(running)*runningCost
+	if n.Artifact.Model == "" {
+		expected = serviceTime * time.Duration(1+running) / time.Duration(max(1, c.Runner.Slots))
+	}
+	cost := time.Duration(float64(expected) * max(1, l.slowness))
+	if c.Runner.Zone != n.From {
+		cost += crossZoneCost
+	}
+	cost += t.zones.Distance(n.From, c.Runner.Zone)
+	if c.Runner.LeavesAt != 0 || l.Avoided(now) {
+		cost += avoidedCost
+	}
+	return cost + time.Duration(t.rand.Int64N(int64(jitter)))
+}
+
+// PrefillTime returns the time in which an engine reads a number of prompt tokens.
+func PrefillTime(tokens int) time.Duration {
+	return time.Duration(float64(tokens) / prefillTokensPerMs * float64(time.Millisecond))
+}
--- /dev/null
+++ b/fleet/machine/demand.go
@@ -0,0 +1,88 @@
+package machine
+
+import (
+	"math"
+	"time"
+
+	"github.com/mangopass/mangopass/duty/clock"
+	"github.com/mangopass/mangopass/fleet/contract"
+)
+
+// Artifact is a model, or an adapter on its model, of a service's engines.
+type Artifact struct {
+	Service contract.ServiceName
+	Model   contract.ModelName
+	Adapter contract.AdapterName // empty: the model itself
+}
+
+// Base returns the artifact's model without the adapter.
+func (a Artifact) Base() Artifact { return Artifact{Service: a.Service, Model: a.Model} }
+
+// demandMemory is the time constant with which past arrivals are forgotten. Demand moves between models within about
+// five seconds.
+const demandMemory = 3 * time.Second
+
+// Asked is the demand for one artifact at one entry VM since its last report.
+type Asked struct {
+	Artifact Artifact
+	Waiting  int           // requests that wait for a replica, now
+	Arrivals int           // requests since the last report
+	Urgent   int           // those of them that cannot wait for a load
+	Work     time.Duration // prefill time that they take
+}
+
+// demand is what all entry VMs ask of one artifact.
+type demand struct {
+	at       clock.Instant
+	arrivals float64 // decayed counts; divided by demandMemory they are rates
+	urgent   float64
+	work     float64 // decayed seconds of prefill
+	waiting  map[string]int
+	since    clock.Instant // requests have waited since; zero: none waits
+}
+
+func (d *demand) decay(now clock.Instant) {
+	if elapsed := now.Sub(d.at); elapsed > 0 {
+		f := math.Exp(-elapsed.Seconds() / demandMemory.Seconds())
+		d.arrivals, d.urgent, d.work = d.arrivals*f, d.urgent*f, d.work*f
+	}
+	d.at = now
+}
+
+func (d *demand) observe(node string, a Asked, now clock.Instant) {
+	d.decay(now)
+	d.arrivals += float64(a.Arrivals)
+	d.urgent += float64(a.Urgent)
+	d.work += a.Work.Seconds()
+	d.setWaiting(node, a.Waiting, now)
+}
+
+func (d *demand) setWaiting(node string, n int, now clock.Instant) {
+	if n == 0 {
+		delete(d.waiting, node)
+	} else {
+		d.waiting[node] = n
+	}
+	switch {
+	case len(d.waiting) == 0:
+		d.since = 0
+	case d.since == 0:
+		d.since = now
+	}
+}
+
+func (d *demand) total() int {
+	n := 0
+	for _, w := range d.waiting {
+		n += w
+	}
+	return n
+}
+
+// rate returns requests per second, urgentRate those that cannot wait, utilization the prefill seconds per second.
+func (d *demand) rate() float64        { return d.arrivals / demandMemory.Seconds() }
+func (d *demand) urgentRate() float64  { return d.urgent / demandMemory.Seconds() }
+func (d *demand) utilization() float64 { return d.work / demandMemory.Seconds() }
+
+// idle reports whether the demand can be forgotten.
+func (d *demand) idle() bool { return len(d.waiting) == 0 && d.arrivals < 0.001 }
--- a/fleet/machine/ledger.go
+++ b/fleet/machine/ledger.go
@@ -1,43 +1,71 @@
-// Package machine holds the VMs and targets and what runs on them: memory, replicas, the queue of waiting requests. It
-// does no I/O; the time is always an argument.
 package machine
 
 import (
+	"time"
+
+	"github.com/mangopass/mangopass/duty/clock"
 	"github.com/mangopass/mangopass/fleet/contract"
 )
 
-// Ledger accounts for the memory of one target. Memory is reserved before a load order is sent and released only
-// after an unload is confirmed, so that the sum never exceeds the target's capacity.
-type Ledger struct {
-	capacity int64
-	held     map[contract.Artifact]int64
-	used     int64
+// Times of the orders' progress.
+const (
+	// loadMargin is added to the stated time of a load before requests are sent.
+	loadMargin = 25 * time.Millisecond
+	// adapterLoad is the usual time of an adapter's load.
+	adapterLoad = 20 * time.Millisecond
+	// conflictPause is the wait before an order is repeated that met another one in progress.
+	conflictPause = 40 * time.Millisecond
+	// reportLag is the age that a runner's report of itself can have.
+	reportLag = 200 * time.Millisecond
+	// conflictLimit is the number of conflicts in a row after which the runner is asked for its state.
+	conflictLimit = 8
+)
+
+// swap is a load that needs models to be unloaded first.
+type swap struct {
+	victims []contract.ModelName
+	model   contract.ModelName
 }
 
-// NewLedger returns the ledger of an empty target with the given capacity in bytes.
-func NewLedger(capacity int64) *Ledger {
-	return &Ledger{capacity: capacity, held: make(map[contract.Artifact]int64)}
+// book is the order giver's exact account of one runner.
+type book struct {
+	boot      int64
+	synced    bool          // the runner's own report has been read in this term
+	asked     bool          // a report has been asked for and not arrived
+	askAfter  clock.Instant // earliest time of the next question
+	pending   *Order        // sent and not answered
+	swap      *swap
+	holdUntil clock.Instant // no order before
+	busyUntil clock.Instant // the load in progress ends then
+	conflicts int
 }
 
-// Reserve sets bytes aside for an artifact. It is false, and nothing changes, if they do not fit. Reserving an
-// artifact twice keeps the first reservation.
-func (l *Ledger) Reserve(a contract.Artifact, bytes int64) bool {
-	if _, ok := l.held[a]; ok {
-		return true
-	}
-	if bytes > l.Free() {
-		return false
-	}
-	l.held[a] = bytes
-	l.used += bytes
-	return true
+func (b *book) idle(now clock.Instant) bool {
+	return b.synced && b.pending == nil && b.swap == nil && !b.holdUntil.After(now) && !b.busyUntil.After(now)
 }
 
-// Release frees an artifact's bytes.
-func (l *Ledger) Release(a contract.Artifact) {
-	l.used -= l.held[a]
-	delete(l.held, a)
+// unsync makes the next order wait for a report that was made after now.
+func (b *book) unsync(now clock.Instant) {
+	b.synced, b.asked = false, false
+	b.askAfter = now.Add(reportLag)
+	b.swap = nil
 }
 
-// Free returns the bytes that nothing holds.
-func (l *Ledger) Free() int64 { return l.capacity - l.used }
+// usedMB returns the room that a runner's models and adapters take.
+func usedMB(r *Runner, engine *contract.Engine) float64 {
+	used := 0.0
+	for name, residence := range r.Resident {
+		m := engine.Models[name]
+		used += m.WeightsMB + float64(len(residence.Adapters))*m.AdapterMB
+	}
+	return used
+}
+
+// adapterCount returns the adapter places in use.
+func adapterCount(r *Runner) int {
+	n := 0
+	for _, residence := range r.Resident {
+		n += len(residence.Adapters)
+	}
+	return n
+}
--- /dev/null
+++ b/fleet/machine/placement.go
@@ -0,0 +1,507 @@
+package machine
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/mangopass/mangopass/duty/clock"
+	"github.com/mangopass/mangopass/fleet/contract"
+)
+
+// Figures of the placement.
+const (
+	// replicaUtilization is the share of a runner's prefill time that one replica of a busy model should take at most.
+	replicaUtilization = 0.35
+	// urgentRateForSpare is the rate of requests that cannot wait for a load, in 1/s, from which a model gets a second
+	// replica against the loss of the first.
+	urgentRateForSpare = 1.0
+	// settleTime protects a model that was just loaded until the requests that waited for it have been sent.
+	settleTime = 400 * time.Millisecond
+	// urgentLoss and patientLoss weigh a request that has to wait for a load, per second of it.
+	urgentLoss  = 3.0
+	patientLoss = 0.3
+	// waitingGain is the gain of a load for each request that waits for it.
+	waitingGain = 1.0
+	// replicaGain is the gain of a further replica of a busy model.
+	replicaGain = 1.0
+	// surplusValue is the value of a replica beyond those that a model needs.
+	surplusValue = 0.02
+	// unloadTime is the usual time of an unload without running requests.
+	unloadTime = 50 * time.Millisecond
+	// coldLoadsAtOnce is the number of loads that the weight store serves at full speed.
+	coldLoadsAtOnce = 4
+	// comingAdapters is the number of adapters that may be on their way to one runner.
+	comingAdapters = 4
+)
+
+// Ceiling bounds the loads from the weight store over all runners.
+type Ceiling struct {
+	Window time.Duration
+	Over   float64 // factor on the stated rate
+	Extra  float64 // loads beyond it
+}
+
+// Usage tells how many requests run or wait at a runner for an artifact, over all entry VMs.
+type Usage interface {
+	InUse(r RunnerID, a Artifact) int
+	Queued(r RunnerID) time.Duration // prefill time that waits at the runner
+}
+
+// Placer decides which models and adapters each runner holds. It keeps the order giver's exact account of every runner.
+type Placer struct {
+	fleet    *Fleet
+	usage    Usage
+	ceiling  Ceiling
+	services map[contract.ServiceName]*contract.Service
+	books    map[RunnerID]*book
+	demands  map[Artifact]*demand
+	cold     []clock.Instant // ends of loads from the weight store that are in progress
+	started  []clock.Instant // starts of loads from the weight store inside the window
+	changed  map[RunnerID]uint64
+	version  uint64
+}
+
+// NewPlacer returns a placer without knowledge of any runner's state.
+func NewPlacer(fleet *Fleet, usage Usage, ceiling Ceiling) *Placer {
+	return &Placer{
+		fleet: fleet, usage: usage, ceiling: ceiling, books: make(map[RunnerID]*book),
+		demands: make(map[Artifact]*demand), changed: make(map[RunnerID]uint64),
+	}
+}
+
+// Configure applies a manifest.
+func (p *Placer) Configure(m *contract.Manifest) { p.services = m.Services }
+
+// Begin forgets all accounts: each runner is asked for its state before its first order of the term.
+func (p *Placer) Begin() {
+	clear(p.books)
+	p.cold, p.started = nil, nil
+}
+
+// Observe applies the demand that a node reports.
+func (p *Placer) Observe(node string, asked []Asked, now clock.Instant) {
+	named := make(map[Artifact]bool, len(asked))
+	for _, a := range asked {
+		named[a.Artifact] = true
+		p.demand(a.Artifact, now).observe(node, a, now)
+	}
+	for artifact, d := range p.demands {
+		if !named[artifact] {
+			d.setWaiting(node, 0, now)
+		}
+	}
+}
+
+// Forget drops the waiting requests of a node that is gone.
+func (p *Placer) Forget(node string, now clock.Instant) { p.Observe(node, nil, now) }
+
+func (p *Placer) demand(a Artifact, now clock.Instant) *demand {
+	d := p.demands[a]
+	if d == nil {
+		d = &demand{at: now, waiting: make(map[string]int)}
+		p.demands[a] = d
+	}
+	return d
+}
+
+// Plan is what the order giver does next.
+type Plan struct {
+	Orders    []Order
+	Questions []*Runner // runners to ask for their state
+}
+
+// Plan returns the orders and questions that are due at now. At most one order per runner is unanswered at a time.
+func (p *Placer) Plan(now clock.Instant) Plan {
+	var plan Plan
+	p.forgetOld(now)
+	for _, r := range p.fleet.All() {
+		if p.engine(r) == nil || !r.Usable(now) {
+			continue
+		}
+		b := p.book(r)
+		switch {
+		case b.pending != nil || b.holdUntil.After(now):
+		case !b.synced && !b.asked && !b.askAfter.After(now):
+			b.asked = true
+			plan.Questions = append(plan.Questions, r)
+		case b.synced && b.swap != nil:
+			p.step(r, b, now, &plan)
+		}
+	}
+	p.placeMissing(now, &plan)
+	p.placeReplicas(now, &plan)
+	p.placeAdapters(now, &plan)
+	return plan
+}
+
+func (p *Placer) engine(r *Runner) *contract.Engine {
+	if s := p.services[r.Service]; s != nil && r.Engine {
+		return s.Engine
+	}
+	return nil
+}
+
+func (p *Placer) book(r *Runner) *book {
+	b := p.books[r.ID]
+	if b == nil || b.boot != r.Boot {
+		b = &book{boot: r.Boot}
+		p.books[r.ID] = b
+	}
+	return b
+}
+
+func (p *Placer) forgetOld(now clock.Instant) {
+	p.cold = slices.DeleteFunc(p.cold, func(end clock.Instant) bool { return !end.After(now) })
+	p.started = slices.DeleteFunc(p.started, func(at clock.Instant) bool { return now.Sub(at) > p.ceiling.Window })
+	for a, d := range p.demands {
+		d.decay(now)
+		if d.idle() {
+			delete(p.demands, a)
+		}
+	}
+	for id := range p.books {
+		if p.fleet.Get(id) == nil {
+			delete(p.books, id)
+		}
+	}
+}
+
+// step gives the next order of a swap.
+func (p *Placer) step(r *Runner, b *book, now clock.Instant, plan *Plan) {
+	if len(b.swap.victims) > 0 {
+		p.give(r, b, Unload, b.swap.victims[0], "", plan)
+		return
+	}
+	if p.room(r, b.swap.model, "") < 0 {
+		b.unsync(now) // the account did not hold; the runner's report settles it
+		return
+	}
+	p.give(r, b, Load, b.swap.model, "", plan)
+}
+
+func (p *Placer) give(r *Runner, b *book, kind OrderKind, m contract.ModelName, a contract.AdapterName, plan *Plan) {
+	order := Order{
+		Runner: r.ID, Address: r.Address, Boot: r.Boot, Kind: kind, Model: m, Adapter: a, Expected: r.Sequence,
+	}
+	b.pending = &order
+	plan.Orders = append(plan.Orders, order)
+}
+
+// room returns the room in MB that is left after loading a model or an adapter; it is negative if there is none.
+func (p *Placer) room(r *Runner, m contract.ModelName, a contract.AdapterName) float64 {
+	e := p.engine(r)
+	need := e.Models[m].WeightsMB
+	if a != "" {
+		need = e.Models[m].AdapterMB
+	}
+	return e.WeightsMB - usedMB(r, e) - need
+}
+
+// placeMissing loads models that requests wait for and that no runner holds.
+func (p *Placer) placeMissing(now clock.Instant, plan *Plan) {
+	var missing []Artifact
+	for a, d := range p.demands {
+		if len(d.waiting) > 0 && p.replicas(a, now) == 0 {
+			missing = append(missing, a.Base())
+		}
+	}
+	slices.SortFunc(missing, func(a, b Artifact) int { return cmp.Compare(a.Model, b.Model) })
+	missing = slices.Compact(missing)
+	slices.SortStableFunc(missing, func(a, b Artifact) int {
+		return cmp.Compare(p.waitingFor(b), p.waitingFor(a))
+	})
+	for _, a := range missing {
+		p.place(a, waitingGain*float64(p.waitingFor(a)), now, plan)
+	}
+}
+
+// waitingFor counts the requests that wait for a model or one of its adapters.
+func (p *Placer) waitingFor(base Artifact) int {
+	n := 0
+	for a, d := range p.demands {
+		if a.Base() == base {
+			n += d.total()
+		}
+	}
+	return n
+}
+
+// replicas counts the usable runners that hold a model or are about to load it.
+func (p *Placer) replicas(a Artifact, now clock.Instant) int {
+	n := 0
+	for _, r := range p.fleet.All() {
+		if r.Service != a.Service || !r.Usable(now) {
+			continue
+		}
+		b := p.books[r.ID]
+		if r.Holds(a.Model) != nil || b != nil && b.swap != nil && b.swap.model == a.Model {
+			n++
+		}
+	}
+	return n
+}
+
+// needed returns the replicas that the demand for a model justifies.
+func (p *Placer) needed(base Artifact) int {
+	work, urgent := 0.0, 0.0
+	for a, d := range p.demands {
+		if a.Base() == base {
+			work += d.utilization()
+			urgent += d.urgentRate()
+		}
+	}
+	n := int(math.Ceil(work / replicaUtilization))
+	if urgent >= urgentRateForSpare {
+		n = max(n, 2)
+	}
+	return n
+}
+
+// placeReplicas adds one replica to each model that has fewer than it needs.
+func (p *Placer) placeReplicas(now clock.Instant, plan *Plan) {
+	seen := make(map[Artifact]bool)
+	var short []Artifact
+	for a := range p.demands {
+		base := a.Base()
+		if seen[base] {
+			continue
+		}
+		seen[base] = true
+		if have := p.replicas(base, now); have > 0 && have < p.needed(base) {
+			short = append(short, base)
+		}
+	}
+	slices.SortFunc(short, func(a, b Artifact) int { return cmp.Compare(a.Model, b.Model) })
+	for _, a := range short {
+		p.place(a, replicaGain, now, plan)
+	}
+}
+
+// place starts a swap that brings a model onto the runner where it costs least, if the gain is above the cost.
+func (p *Placer) place(a Artifact, gain float64, now clock.Instant, plan *Plan) {
+	var best *Runner
+	var victims []contract.ModelName
+	lowest := math.Inf(1)
+	for _, r := range p.fleet.All() {
+		e := p.engine(r)
+		if r.Service != a.Service || e == nil || !r.Usable(now) || r.LeavesAt != 0 || r.Holds(a.Model) != nil {
+			continue
+		}
+		model, known := e.Models[a.Model]
+		if !known || !p.book(r).idle(now) || model.LoadCold == p.loadTime(r, model) && !p.mayLoadCold(e, now) {
+			continue
+		}
+		out, lost, ok := p.evict(r, e, model.WeightsMB, now)
+		if !ok || lost >= gain {
+			continue
+		}
+		cost := lost + p.loadTime(r, model).Seconds() + float64(len(out))*unloadTime.Seconds() + p.usage.Queued(r.ID).Seconds()
+		if cost < lowest {
+			best, victims, lowest = r, out, cost
+		}
+	}
+	if best == nil {
+		return
+	}
+	b := p.book(best)
+	b.swap = &swap{victims: victims, model: a.Model}
+	p.step(best, b, now, plan)
+}
+
+// loadTime returns how long a runner takes to load a model from its nearest copy.
+func (p *Placer) loadTime(r *Runner, m contract.Model) time.Duration {
+	switch {
+	case slices.Contains(r.InMemory, m.Name):
+		return m.LoadWarm
+	case slices.Contains(r.OnDisk, m.Name):
+		return m.LoadDisk
+	}
+	return m.LoadCold
+}
+
+func (p *Placer) mayLoadCold(e *contract.Engine, now clock.Instant) bool {
+	bound := e.LoadsPerSecond*p.ceiling.Window.Seconds()*p.ceiling.Over + p.ceiling.Extra - 1
+	return len(p.cold) < coldLoadsAtOnce && float64(len(p.started)) < bound
+}
+
+// evict chooses the models of least value whose removal makes room, and returns the value lost.
+func (p *Placer) evict(r *Runner, e *contract.Engine, need float64, now clock.Instant) ([]contract.ModelName, float64, bool) {
+	free := e.WeightsMB - usedMB(r, e)
+	type candidate struct {
+		name  contract.ModelName
+		mb    float64
+		value float64
+	}
+	var candidates []candidate
+	for name, residence := range r.Resident {
+		if !p.evictable(r, residence, now) {
+			continue
+		}
+		m := e.Models[name]
+		mb := m.WeightsMB + float64(len(residence.Adapters))*m.AdapterMB
+		candidates = append(candidates, candidate{name, mb, p.value(r, m, now)})
+	}
+	slices.SortFunc(candidates, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.value, b.value), cmp.Compare(a.name, b.name))
+	})
+	var chosen []candidate
+	for _, c := range candidates {
+		if free >= need {
+			break
+		}
+		chosen = append(chosen, c)
+		free += c.mb
+	}
+	if free < need {
+		return nil, 0, false
+	}
+	// Models whose removal turns out to be needless stay, the most valuable first.
+	for i := len(chosen) - 1; i >= 0; i-- {
+		if free-chosen[i].mb >= need {
+			free -= chosen[i].mb
+			chosen = slices.Delete(chosen, i, i+1)
+		}
+	}
+	var names []contract.ModelName
+	lost := 0.0
+	for _, c := range chosen {
+		names = append(names, c.name)
+		lost += c.value
+	}
+	return names, lost, true
+}
+
+func (p *Placer) evictable(r *Runner, residence *Residence, now clock.Instant) bool {
+	a := Artifact{Service: r.Service, Model: residence.Model}
+	if residence.ReadyAt.Add(settleTime).After(now) || p.inUse(r, residence) > 0 {
+		return false
+	}
+	return p.waitingFor(a) == 0 || p.replicas(a, now) > 1
+}
+
+func (p *Placer) inUse(r *Runner, residence *Residence) int {
+	n := p.usage.InUse(r.ID, Artifact{Service: r.Service, Model: residence.Model})
+	for adapter := range residence.Adapters {
+		n += p.usage.InUse(r.ID, Artifact{Service: r.Service, Model: residence.Model, Adapter: adapter})
+	}
+	return n
+}
+
+// value returns what the loss of a replica is expected to cost, in the unit of one request that waits a second.
+func (p *Placer) value(r *Runner, m contract.Model, now clock.Instant) float64 {
+	base := Artifact{Service: r.Service, Model: m.Name}
+	have := p.replicas(base, now)
+	if have > max(1, p.needed(base)) {
+		return surplusValue
+	}
+	rate, urgent := 0.0, 0.0
+	for a, d := range p.demands {
+		if a.Base() == base {
+			rate += d.rate()
+			urgent += d.urgentRate()
+		}
+	}
+	return (urgent*urgentLoss + (rate-urgent)*patientLoss) * p.loadTime(r, m).Seconds() / float64(max(1, have))
+}
+
+// placeAdapters loads adapters that requests wait for and that no replica of their model has.
+func (p *Placer) placeAdapters(now clock.Instant, plan *Plan) {
+	var wanted []Artifact
+	for a, d := range p.demands {
+		if a.Adapter != "" && len(d.waiting) > 0 {
+			wanted = append(wanted, a)
+		}
+	}
+	slices.SortFunc(wanted, func(a, b Artifact) int {
+		return cmp.Or(cmp.Compare(a.Model, b.Model), cmp.Compare(a.Adapter, b.Adapter))
+	})
+	for _, a := range wanted {
+		p.placeAdapter(a, now, plan)
+	}
+}
+
+func (p *Placer) placeAdapter(a Artifact, now clock.Instant, plan *Plan) {
+	var best *Runner
+	lowest := math.Inf(1)
+	for _, r := range p.fleet.All() {
+		if r.Service != a.Service || p.engine(r) == nil || !r.Usable(now) {
+			continue
+		}
+		residence := r.Holds(a.Model)
+		if residence == nil {
+			continue
+		}
+		if _, held := residence.Adapters[a.Adapter]; held {
+			return
+		}
+		b := p.book(r)
+		if b.pending != nil && b.pending.Model == a.Model && b.pending.Adapter == a.Adapter {
+			return
+		}
+		if !residence.Ready("", now) || !b.idle(now) {
+			continue
+		}
+		cost := p.usage.Queued(r.ID).Seconds()
+		if adapterCount(r) >= p.engine(r).AdapterSlots || p.room(r, a.Model, a.Adapter) < 0 {
+			if _, ok := p.oldestAdapter(r, now); !ok {
+				continue
+			}
+			cost += adapterLoad.Seconds()
+		}
+		if cost < lowest {
+			best, lowest = r, cost
+		}
+	}
+	if best == nil {
+		return
+	}
+	b := p.book(best)
+	if adapterCount(best) < p.engine(best).AdapterSlots && p.room(best, a.Model, a.Adapter) >= 0 {
+		if comingCount(best, now) < comingAdapters {
+			p.give(best, b, Load, a.Model, a.Adapter, plan)
+		}
+		return
+	}
+	if victim, ok := p.oldestAdapter(best, now); ok {
+		p.give(best, b, Unload, victim.Model, victim.Adapter, plan)
+	}
+}
+
+// oldestAdapter returns the unused adapter on a runner that is asked for least.
+func (p *Placer) oldestAdapter(r *Runner, now clock.Instant) (Artifact, bool) {
+	var victim Artifact
+	lowest := math.Inf(1)
+	for _, residence := range r.Resident {
+		for name, readyAt := range residence.Adapters {
+			a := Artifact{Service: r.Service, Model: residence.Model, Adapter: name}
+			if readyAt.Add(settleTime).After(now) || p.usage.InUse(r.ID, a) > 0 {
+				continue
+			}
+			value := 0.0
+			if d := p.demands[a]; d != nil {
+				value = d.arrivals
+				if len(d.waiting) > 0 {
+					continue
+				}
+			}
+			if value < lowest || value == lowest && name < victim.Adapter {
+				victim, lowest = a, value
+			}
+		}
+	}
+	return victim, victim.Adapter != ""
+}
+
+func comingCount(r *Runner, now clock.Instant) int {
+	n := 0
+	for _, residence := range r.Resident {
+		for _, readyAt := range residence.Adapters {
+			if readyAt.After(now) {
+				n++
+			}
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/fleet/machine/progress.go
@@ -0,0 +1,209 @@
+package machine
+
+import (
+	"slices"
+	"time"
+
+	"github.com/mangopass/mangopass/duty/clock"
+	"github.com/mangopass/mangopass/fleet/contract"
+)
+
+// Answered applies the outcome of an order.
+func (p *Placer) Answered(o Order, outcome OrderOutcome, now clock.Instant) {
+	r, b := p.fleet.Get(o.Runner), p.books[o.Runner]
+	if r == nil || b == nil || b.boot != o.Boot || b.pending == nil || *b.pending != unsigned(o) {
+		return // of an earlier term or an earlier start of the runner
+	}
+	b.pending = nil
+	switch outcome {
+	case OrderAccepted, OrderHolds:
+		b.conflicts = 0
+		r.Sequence = max(r.Sequence, o.Expected+1)
+		p.carriedOut(r, b, o, now)
+		p.touch(r.ID)
+		if outcome == OrderHolds && o.Adapter == "" {
+			b.unsync(now) // whether it counted as an order shows in the report
+		}
+	case OrderConflict:
+		b.holdUntil = now.Add(conflictPause)
+		if b.conflicts++; b.conflicts >= conflictLimit {
+			b.conflicts = 0
+			b.unsync(now)
+		}
+	case OrderNotSent:
+		b.swap = nil
+	default:
+		b.unsync(now)
+	}
+}
+
+// unsigned returns the order as the account keeps it, without term and expiry.
+func unsigned(o Order) Order {
+	o.Term, o.Expires = Term{}, 0
+	return o
+}
+
+// carriedOut books an accepted order.
+func (p *Placer) carriedOut(r *Runner, b *book, o Order, now clock.Instant) {
+	switch {
+	case o.Kind == Unload && o.Adapter == "":
+		delete(r.Resident, o.Model)
+		if b.swap != nil {
+			b.swap.victims = slices.DeleteFunc(b.swap.victims, func(m contract.ModelName) bool { return m == o.Model })
+		}
+	case o.Kind == Unload:
+		if residence := r.Holds(o.Model); residence != nil {
+			delete(residence.Adapters, o.Adapter)
+		}
+	case o.Adapter != "":
+		if residence := r.Holds(o.Model); residence != nil {
+			residence.Adapters[o.Adapter] = now.Add(adapterLoad)
+		}
+	default:
+		p.bookLoad(r, b, o.Model, now)
+	}
+}
+
+func (p *Placer) bookLoad(r *Runner, b *book, name contract.ModelName, now clock.Instant) {
+	e := p.engine(r)
+	if e == nil {
+		return
+	}
+	model := e.Models[name]
+	takes := p.loadTime(r, model)
+	if takes == model.LoadCold {
+		takes = takes * time.Duration(max(1, len(p.cold)+1)) / coldLoadsAtOnce
+		takes = max(takes, model.LoadCold)
+		p.cold = append(p.cold, now.Add(takes))
+		p.started = append(p.started, now)
+	}
+	ready := now.Add(takes + loadMargin)
+	r.Resident[name] = &Residence{Model: name, ReadyAt: ready, Adapters: make(map[contract.AdapterName]clock.Instant)}
+	b.swap = nil
+	b.busyUntil = ready
+	keepCopy(r, e, name)
+}
+
+// keepCopy notes the copies that a load leaves. The least recently loaded ones leave host memory first.
+func keepCopy(r *Runner, e *contract.Engine, name contract.ModelName) {
+	memory := append([]contract.ModelName{name}, slices.DeleteFunc(slices.Clone(r.InMemory),
+		func(m contract.ModelName) bool { return m == name })...)
+	used := 0.0
+	for i, m := range memory {
+		if used += e.Models[m].WeightsMB; used > e.HostMB {
+			memory = memory[:i]
+			break
+		}
+	}
+	r.InMemory = memory
+	if !slices.Contains(r.OnDisk, name) {
+		r.OnDisk = append(slices.Clone(r.OnDisk), name)
+	}
+}
+
+// Reported applies a runner's answer to a question; ok is false if there was none.
+func (p *Placer) Reported(id RunnerID, boot int64, c Contents, ok bool, now clock.Instant) {
+	r, b := p.fleet.Get(id), p.books[id]
+	if r == nil || b == nil || b.boot != boot || !b.asked {
+		return
+	}
+	b.asked = false
+	if !ok || c.Busy {
+		b.askAfter = now.Add(reportLag)
+		return
+	}
+	if c.InMemory == nil && c.OnDisk == nil {
+		c.InMemory, c.OnDisk = r.InMemory, r.OnDisk
+	}
+	r.Adopt(c, now)
+	b.synced = true
+	p.touch(id)
+}
+
+// Refused applies a runner's word that it does not hold an artifact which this process believed to be there.
+func (p *Placer) Refused(id RunnerID, a Artifact, now clock.Instant) {
+	r, b := p.fleet.Get(id), p.books[id]
+	if r == nil {
+		return
+	}
+	residence := r.Holds(a.Model)
+	if residence == nil || !residence.Ready(a.Adapter, now) {
+		return
+	}
+	if a.Adapter != "" {
+		residence.Adapters[a.Adapter] = now.Add(conflictPause) // it keeps its place in the account until the report
+	} else {
+		residence.ReadyAt = now.Add(conflictPause)
+	}
+	if b != nil && b.pending == nil && b.synced && b.swap == nil {
+		b.unsync(now)
+	}
+	p.touch(id)
+}
+
+func (p *Placer) touch(id RunnerID) {
+	p.version++
+	p.changed[id] = p.version
+}
+
+// View is the order giver's account of one runner, as its peers get it.
+type View struct {
+	Runner   RunnerID
+	Boot     int64
+	Sequence int64
+	Models   []ModelView
+}
+
+// ModelView is one model of a View.
+type ModelView struct {
+	Model    contract.ModelName
+	ReadyIn  time.Duration // zero: ready
+	Adapters []contract.AdapterName
+}
+
+// Version returns the number of changes of the account so far.
+func (p *Placer) Version() uint64 { return p.version }
+
+// Views returns the accounts that changed after a version.
+func (p *Placer) Views(after uint64, now clock.Instant) []View {
+	if after >= p.version {
+		return nil
+	}
+	var views []View
+	for _, r := range p.fleet.All() {
+		if p.changed[r.ID] > after {
+			views = append(views, viewOf(r, now))
+		}
+	}
+	return views
+}
+
+func viewOf(r *Runner, now clock.Instant) View {
+	v := View{Runner: r.ID, Boot: r.Boot, Sequence: r.Sequence}
+	for _, residence := range r.Resident {
+		m := ModelView{Model: residence.Model, ReadyIn: max(0, residence.ReadyAt.Sub(now))}
+		for a := range residence.Adapters {
+			m.Adapters = append(m.Adapters, a)
+		}
+		v.Models = append(v.Models, m)
+	}
+	return v
+}
+
+// ApplyView replaces what is believed of a runner's contents by the order giver's account.
+func (f *Fleet) ApplyView(v View, now clock.Instant) {
+	r := f.runners[v.Runner]
+	if r == nil || r.Boot != v.Boot || v.Sequence < r.Sequence {
+		return
+	}
+	r.Sequence = v.Sequence
+	resident := make(map[contract.ModelName]*Residence, len(v.Models))
+	for _, m := range v.Models {
+		residence := &Residence{Model: m.Model, ReadyAt: now.Add(m.ReadyIn), Adapters: make(map[contract.AdapterName]clock.Instant)}
+		for _, a := range m.Adapters {
+			residence.Adapters[a] = now
+		}
+		resident[m.Model] = residence
+	}
+	r.Resident = resident
+}
--- a/node/entry/admission.go
+++ b/node/entry/admission.go
@@ -1,237 +1,289 @@
 package entry
 
 import (
-	"context"
-	"log/slog"
-	"math/rand/v2"
-	"strconv"
 	"time"
 
-	"github.com/mangopass/mangopass/duty/ring"
+	"github.com/mangopass/mangopass/duty/clock"
 	"github.com/mangopass/mangopass/fleet/contract"
 	"github.com/mangopass/mangopass/fleet/link"
-	"github.com/mangopass/mangopass/fleet/zone"
-	"github.com/mangopass/mangopass/node/wire"
-)
-
-// message is anything that reaches the admission duty: *call, *routesQuery, *finished, configInForce, heartbeat.
-type message any
-
-// configInForce replaces the configuration by a higher generation.
-type configInForce struct{ config *contract.Config }
-
-// heartbeat carries an agent's report.
-type heartbeat struct{ report link.Report }
-
-// finished reports the end of an attempt.
-type finished struct {
-	dispatch *dispatch
-	outcome  attemptOutcome
-	refusal  contract.Refusal // for attemptRefused
-}
-
-// attemptOutcome is how an attempt ended.
-type attemptOutcome int
-
-const (
-	attemptAnswered attemptOutcome = iota // the caller's reply ring has the end of the answer
-	attemptRefused                        // the agent refused before it answered
-	attemptNotSent                        // the agent certainly did not receive the request
-	attemptUnknown                        // the connection broke before the first byte of the answer
+	"github.com/mangopass/mangopass/fleet/machine"
 )
 
+// Figures of admission and waiting.
 const (
-	maxAttempts      = 3
-	admissionBatch   = 64
-	retryAfterNoSlot = time.Second
+	// patienceShare is the part of a call's time that it may wait for a replica before it is refused.
+	patienceShare = 0.45
+	// retryManifest, retryService and retryReplica are told to callers whose request has not run.
+	retryManifest = 500 * time.Millisecond
+	retryService  = 150 * time.Millisecond
+	retryReplica  = time.Second
+	// minimumLeft is the least time with which an attempt makes sense.
+	minimumLeft = 15 * time.Millisecond
+	// sendLimit bounds the attempts of one call, those that did not run included.
+	sendLimit = 4
+	// firstToken is an engine's time to the first event of a prompt that is already read.
+	firstToken = 100 * time.Millisecond
+	// silenceBound is the silence after which a resumable stream goes on elsewhere; a requester gives up after 3 s.
+	silenceBound = 1200 * time.Millisecond
+	// quotaBurstPart is the part of the operators' slack by which the burst is widened.
+	quotaBurstPart = 0.3
+	// quotaRatePart is the part of the tolerated excess of the rate that is used.
+	quotaRatePart = 0.5
 )
 
-// admission is the duty that decides on each call: whose it is, whether it may run, and at which agent. It owns the
-// configuration, the buckets and the links to the agents, and never blocks on a push.
-type admission struct {
-	inbox   *ring.Ring[message]
-	forward *ring.Ring[*dispatch]
-	at      zone.DataCentreID
-	log     *slog.Logger
-	metrics *entryMetrics
-
-	config  *contract.Config
-	links   *link.Table
-	buckets map[contract.OrganisationID]*contract.Bucket
+// apply admits a call and makes its first decision.
+func (m arrived) apply(r *routing, now clock.Instant) {
+	c := m.call
+	if refusal := r.admit(c, now); refusal != nil {
+		r.refuse(c, refusal, now)
+		return
+	}
+	r.budget(c.service).Request(now)
+	r.note(c, now)
+	r.decide(c, now)
 }
 
-func newAdmission(at zone.DataCentreID, zones *zone.Map, inbox *ring.Ring[message], forward *ring.Ring[*dispatch], log *slog.Logger, m *entryMetrics) *admission {
-	source := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	return &admission{
-		inbox: inbox, forward: forward, at: at, log: log, metrics: m,
-		links:   link.NewTable(zones, source),
-		buckets: make(map[contract.OrganisationID]*contract.Bucket),
+// admit checks a call against the manifest, the strikes and the quota.
+func (r *routing) admit(c *call, now clock.Instant) *contract.Refusal {
+	if r.manifest == nil {
+		return contract.Refuse(contract.ManifestMissing, retryManifest, "no manifest has been read yet")
+	}
+	admitted, refusal := r.manifest.Admit(c.request)
+	keyed := refusal != nil || admitted.Organisation != nil
+	if keyed && !r.freshness.Fresh(now) {
+		return contract.Refuse(contract.ManifestStale, retryManifest, "the manifest is %s old", r.freshness.Age(now).Round(time.Millisecond))
 	}
+	if refusal != nil {
+		return refusal
+	}
+	c.admitted = admitted
+	c.deadline = c.request.Deadline(admitted.Route)
+	c.patience = c.request.Arrived.Add(time.Duration(patienceShare * float64(c.deadline.Sub(c.request.Arrived))))
+	c.service = admitted.Route.Backend(r.rand.Float64())
+	c.artifact = machine.Artifact{Service: c.service, Model: c.request.Model, Adapter: c.request.Adapter}
+	if r.strikes.Out(c.request.Digest, now) {
+		return contract.Refuse(contract.CrashSuspect, 0, "runs of this request have broken off at several runners")
+	}
+	return r.charge(c, now)
 }
 
-func (a *admission) run(ctx context.Context) {
-	batch := make([]message, admissionBatch)
-	for {
-		n, err := a.inbox.PopBatch(ctx, batch)
-		if err != nil {
-			return
-		}
-		now := time.Now()
-		for _, m := range batch[:n] {
-			a.handle(m, now)
-		}
+func (r *routing) charge(c *call, now clock.Instant) *contract.Refusal {
+	o := c.admitted.Organisation
+	if o == nil || o.Limit.PerSecond <= 0 {
+		return nil
+	}
+	cost := o.Limit.Cost(c.request.PromptTokens, c.request.MaxTokens, c.request.Counted)
+	quota := r.quota(o, now)
+	if !quota.Take(cost, now) {
+		return contract.Refuse(contract.RateLimited, quota.Wait(cost, now), "%s is over its limit", o.Name)
 	}
+	c.cost = cost
+	return nil
 }
 
-func (a *admission) handle(m message, now time.Time) {
-	switch m := m.(type) {
-	case *call:
-		a.admit(m, now)
-	case *finished:
-		a.finish(m, now)
-	case configInForce:
-		a.apply(m.config)
-	case *routesQuery:
-		a.routes(m)
-	case heartbeat:
-		a.links.Heard(m.report, now)
-	default:
-		panic("entry: unknown message to admission")
+func (r *routing) quota(o *contract.Organisation, now clock.Instant) *contract.Quota {
+	q := r.quotas[o.Name]
+	if q == nil {
+		q = contract.NewQuota(o.Limit, contract.QuotaSlack{
+			Rate: quotaRatePart * r.rules.QuotaOver, Burst: quotaBurstPart * r.rules.QuotaSlack,
+		}, now)
+		q.SetShare(r.members.share(now), now)
+		r.quotas[o.Name] = q
 	}
+	return q
 }
 
-func (a *admission) apply(c *contract.Config) {
-	if a.config != nil && c.Generation <= a.config.Generation {
-		return
+func (r *routing) budget(s contract.ServiceName) *link.Budget {
+	b := r.budgets[s]
+	if b == nil {
+		b = link.NewBudget(link.BudgetRule{Ratio: r.rules.RetryRatio, Extra: r.rules.RetryExtra, Window: r.rules.RetryWindow()})
+		r.budgets[s] = b
 	}
-	a.config = c
-	a.metrics.generation.Set(float64(c.Generation))
-	a.log.Info("configuration in force", "generation", c.Generation)
+	return b
 }
 
-func (a *admission) admit(c *call, now time.Time) {
-	if refusal := a.judge(c, now); refusal != nil {
-		a.refuse(c, refusal)
+// note counts the demand for a call's model.
+func (r *routing) note(c *call, now clock.Instant) {
+	if c.artifact.Model == "" {
 		return
 	}
-	a.dispatch(c, now)
+	a := r.askedFor(c.artifact)
+	a.Arrivals++
+	a.Work += link.PrefillTime(c.request.PromptTokens)
+	if model, ok := r.model(c); ok && c.admitted.Route.Objective < model.LoadDisk+firstToken+urgencyMargin {
+		a.Urgent++
+	}
 }
 
-// judge decides whether the call may run at all.
-func (a *admission) judge(c *call, now time.Time) *contract.Refusal {
-	if a.config == nil {
-		return contract.Refuse(contract.ConfigurationStale, retryAfterNoSlot, "no configuration is in force yet")
-	}
-	grant, refusal := a.config.Authorise(&c.request)
-	if refusal != nil {
-		return refusal
-	}
-	if (grant.Route.Service != "") != c.service {
-		return contract.Refuse(contract.RouteNotFound, 0, "route %q is of another kind", c.request.Route)
+// urgencyMargin is the time beyond a load and the first token that a request must have to count as able to wait.
+const urgencyMargin = 300 * time.Millisecond
+
+func (r *routing) askedFor(a machine.Artifact) *machine.Asked {
+	asked := r.asked[a]
+	if asked == nil {
+		asked = &machine.Asked{Artifact: a}
+		r.asked[a] = asked
 	}
-	c.grant = grant
-	return a.charge(c, now)
+	return asked
 }
 
-func (a *admission) charge(c *call, now time.Time) *contract.Refusal {
-	org, ok := a.config.Organisations[c.grant.Organisation]
-	if !ok {
-		return nil // an open route without a key has no limit of its own
-	}
-	bucket := a.buckets[org.ID]
-	if bucket == nil {
-		bucket = contract.NewBucket(org.Limit, org.Limit.BurstTokens, now)
-		a.buckets[org.ID] = bucket
-	}
-	tokens := c.request.Tokens()
-	if bucket.Take(tokens, now) {
-		return nil
+// model returns the model that a call names.
+func (r *routing) model(c *call) (contract.Model, bool) {
+	s := r.manifest.Services[c.service]
+	if s == nil || s.Engine == nil {
+		return contract.Model{}, false
 	}
-	wait, _ := bucket.Wait(tokens, now)
-	return contract.Refuse(contract.RateLimited, wait, "the organisation's rate is used up")
+	m, ok := s.Engine.Models[c.artifact.Model]
+	return m, ok
 }
 
-// dispatch sends the call to an agent, or refuses it when there is none or no forwarder is free.
-func (a *admission) dispatch(c *call, now time.Time) {
-	if !now.Before(c.grant.Deadline) {
-		a.refuse(c, contract.Refuse(contract.DeadlineExceeded, 0, "the deadline passed before the request ran"))
+// decide sends a call to a runner, lets it wait for a replica, or refuses it.
+func (r *routing) decide(c *call, now clock.Instant) {
+	if c.deadline.Sub(now) < minimumLeft {
+		r.giveUp(c, contract.DeadlineExceeded, "the deadline has passed", now)
+		return
+	}
+	need := link.Need{
+		Artifact: c.artifact, PromptTokens: c.request.PromptTokens, Prompt: c.request.Prompt, From: r.zone, Exclude: c.exclude,
+	}
+	choice, ok := r.table.Pick(r.fleet, need, now)
+	if ok {
+		r.send(c, choice, now)
 		return
 	}
-	route := c.grant.Route
-	agent, ok := a.links.Pick(link.Need{
-		Artifact: route.Artifact, Service: route.Service, From: a.at, Exclude: c.tried,
-	}, now)
-	if !ok {
-		a.refuse(c, contract.Refuse(contract.NoReplica, retryAfterNoSlot, "no target can take the request now"))
+	if _, known := r.model(c); !known {
+		r.giveUp(c, contract.NoRunner, "no runner of the service is usable", now)
 		return
 	}
-	c.attempts++
-	d := &dispatch{call: c, agent: agent.Report().Agent, addr: agent.Report().Stream, run: runRequest(c)}
-	if !a.forward.TryPush(d) {
-		a.refuse(c, contract.Refuse(contract.Overloaded, retryAfterNoSlot, "too many requests are in flight here"))
+	if !now.Before(c.patience) {
+		r.giveUp(c, contract.NoReplica, "no runner holds the model", now)
 		return
 	}
-	agent.Sent()
+	r.wait(c, now)
 }
 
-func runRequest(c *call) wire.RunRequest {
-	route := c.grant.Route
-	return wire.RunRequest{
-		Request: c.request.ID, Attempt: c.request.ID + "." + strconv.Itoa(c.attempts),
-		Organisation: c.grant.Organisation, Route: route.Name, Class: route.Class, Idempotent: route.Idempotent,
-		Artifact: route.Artifact, Service: route.Service, Method: c.method, Path: c.path, ContentType: c.mime,
-		Digest: c.request.BodyDigest, Tokens: c.request.Tokens(), Deadline: c.grant.Deadline,
+// send makes an attempt at the chosen runner.
+func (r *routing) send(c *call, choice link.Choice, now clock.Instant) {
+	r.stopWaiting(c)
+	c.sends++
+	runner := choice.Runner
+	route := c.admitted.Route
+	a := attempt{
+		runner: runner.ID, boot: runner.Boot, address: runner.Address, artifact: c.artifact, prefill: choice.Prefill,
+		expected: choice.Wait + choice.Prefill + firstToken, deadline: c.deadline, priority: -1,
+		resume: route.Kind == contract.Stream && route.Resumable,
 	}
+	if c.admitted.Organisation != nil {
+		a.tenant = c.admitted.Organisation.Name
+	}
+	if c.artifact.Model == "" {
+		a.expected = 0
+	}
+	a.silence = silenceFor(route, a, c.deadline.Sub(now))
+	r.table.To(runner).Sent(runner.ID, c.artifact, choice.Prefill)
+	r.log.Info("sent", "request", c.request.ID, "route", route.Name, "runner", runner.ID, "model", c.artifact.Model,
+		"adapter", c.artifact.Adapter, "attempt", c.sends, "queued_ms", choice.Wait.Milliseconds(),
+		"waited_ms", now.Sub(c.request.Arrived).Milliseconds(), "manifest", r.manifest.Version)
+	r.metrics.sent.Inc()
+	c.decisions.TryPush(decision{attempt: a})
+}
+
+// silenceFor returns how long an attempt may be silent before another runner is asked; zero where no other may be.
+func silenceFor(route *contract.Route, a attempt, left time.Duration) time.Duration {
+	switch {
+	case a.resume:
+		return silenceBound + a.expected
+	case route.Kind == contract.Safe && route.MaxAttempts > 1:
+		return left / 3
+	}
+	return 0
 }
 
-// finish applies the end of an attempt: a failed one is tried elsewhere if that cannot run the request twice.
-func (a *admission) finish(f *finished, now time.Time) {
-	c := f.dispatch.call
-	if agent := a.links.Get(f.dispatch.agent); agent != nil {
-		agent.Finished()
+// wait parks a call until a replica is ready or its patience ends.
+func (r *routing) wait(c *call, now clock.Instant) {
+	if c.waiting {
+		return
 	}
-	if f.outcome == attemptAnswered {
-		a.metrics.answered.Inc()
+	c.waiting = true
+	r.waiting = append(r.waiting, c)
+	r.askedFor(c.artifact).Waiting++
+	r.members.urgent = true
+	r.log.Info("waiting", "request", c.request.ID, "model", c.artifact.Model, "adapter", c.artifact.Adapter,
+		"patience_ms", c.patience.Sub(now).Milliseconds(), "order_giver", r.members.giver)
+}
+
+func (r *routing) stopWaiting(c *call) {
+	if !c.waiting {
 		return
 	}
-	if a.mayRetry(f) {
-		a.metrics.retries.Inc()
-		c.tried = append(c.tried, f.dispatch.agent)
-		a.dispatch(c, now)
+	c.waiting = false
+	if a := r.askedFor(c.artifact); a.Waiting > 0 {
+		a.Waiting--
+	}
+}
+
+// retryWaiting decides again on each waiting call.
+func (r *routing) retryWaiting(now clock.Instant) {
+	if len(r.waiting) == 0 {
 		return
 	}
-	a.refuse(c, failure(f))
+	for _, c := range r.waiting {
+		if c.waiting {
+			r.decide(c, now)
+		}
+	}
+	kept := r.waiting[:0]
+	for _, c := range r.waiting {
+		if c.waiting {
+			kept = append(kept, c)
+		}
+	}
+	clear(r.waiting[len(kept):])
+	r.waiting = kept
 }
 
-func (a *admission) mayRetry(f *finished) bool {
-	c := f.dispatch.call
-	if c.attempts >= maxAttempts || c.ctx.Err() != nil {
-		return false
+// giveUp refuses a call; the refusal says whether it may have run.
+func (r *routing) giveUp(c *call, code contract.Code, detail string, now clock.Instant) {
+	if c.runs > 0 {
+		r.refuse(c, contract.Failed(code, "%s", detail), now)
+		return
 	}
-	switch f.outcome {
-	case attemptNotSent:
-		return true
-	case attemptRefused:
-		return f.refusal.Run == contract.NotRun && f.refusal.Code != contract.DeadlineExceeded
-	default:
-		return c.grant.Route.Idempotent
+	retry := retryReplica
+	switch code {
+	case contract.NoRunner:
+		retry = retryService
+	case contract.DeadlineExceeded:
+		code = contract.Overloaded // it has not run, and the answer may say so
 	}
+	r.refuse(c, contract.Refuse(code, retry, "%s", detail), now)
 }
 
-func failure(f *finished) *contract.Refusal {
-	switch f.outcome {
-	case attemptRefused:
-		return &f.refusal
-	case attemptNotSent:
-		return contract.Refuse(contract.TargetFailed, retryAfterNoSlot, "no target could be reached")
-	default:
-		return &contract.Refusal{
-			Code: contract.OutcomeUnknown, Run: contract.RunUnknown, Detail: "the target broke off before it answered",
-		}
+// refuse ends a call without an answer of a runner. What a call that was never sent took from its quota goes back.
+func (r *routing) refuse(c *call, refusal *contract.Refusal, now clock.Instant) {
+	r.stopWaiting(c)
+	if c.cost > 0 && c.sends == 0 {
+		r.quota(c.admitted.Organisation, now).Refund(c.cost, now)
+		c.cost = 0
+	}
+	version := int64(0)
+	if r.manifest != nil {
+		version = r.manifest.Version
 	}
+	r.log.Info("refused", "request", c.request.ID, "code", refusal.Code, "may_have_run", refusal.MayHaveRun,
+		"detail", refusal.Detail, "model", c.artifact.Model, "waited_ms", now.Sub(c.request.Arrived).Milliseconds(),
+		"manifest", version, "manifest_age_ms", r.freshness.Age(now).Milliseconds())
+	r.metrics.refused.WithLabelValues(string(refusal.Code)).Inc()
+	c.decisions.TryPush(decision{refusal: refusal})
 }
 
-func (a *admission) refuse(c *call, r *contract.Refusal) {
-	a.metrics.refused.WithLabelValues(string(r.Code)).Inc()
-	c.refuse(r)
+// apply forgets a call whose caller has gone away.
+func (m withdrawn) apply(r *routing, now clock.Instant) {
+	c := m.call
+	r.stopWaiting(c)
+	if c.cost > 0 && c.sends == 0 && c.admitted.Organisation != nil {
+		r.quota(c.admitted.Organisation, now).Refund(c.cost, now)
+		c.cost = 0
+	}
+	r.log.Info("caller gone", "request", c.request.ID, "sends", c.sends, "waited_ms", now.Sub(c.request.Arrived).Milliseconds())
+	r.metrics.results.WithLabelValues(resultGone.String()).Inc()
 }
--- /dev/null
+++ b/node/entry/believed.go
@@ -0,0 +1,105 @@
+package entry
+
+import (
+	"github.com/mangopass/mangopass/duty/clock"
+	"github.com/mangopass/mangopass/fleet/contract"
+	"github.com/mangopass/mangopass/fleet/machine"
+	"github.com/mangopass/mangopass/platform"
+)
+
+// apply takes over what the platform's store says.
+func (m storeChanged) apply(r *routing, now clock.Instant) {
+	if m.manifest != nil {
+		r.takeManifest(m.manifest, now)
+	}
+	if r.manifest != nil {
+		r.freshness.Prove(m.sent)
+	}
+	named := make(map[machine.RunnerID]bool, len(m.runners))
+	for _, change := range m.runners {
+		named[change.id] = true
+		r.takeRunner(change, m.outage, now)
+	}
+	if m.complete {
+		for _, runner := range r.fleet.All() {
+			if !named[runner.ID] {
+				r.takeRunner(runnerChange{id: runner.ID, gone: true}, m.outage, now)
+			}
+		}
+		r.runnersIn = true
+	}
+	r.table.Forget(r.fleet)
+	r.takeOwn(m.own, m.complete, now)
+}
+
+// takeManifest puts a manifest in force unless it is malformed or not newer.
+func (r *routing) takeManifest(value []byte, now clock.Instant) {
+	m, err := platform.DecodeManifest(value)
+	if err != nil {
+		r.log.Error("manifest rejected", "error", err.Error(), "in_force", r.version())
+		return
+	}
+	if m.Version <= r.version() {
+		return
+	}
+	r.log.Info("manifest in force", "version", m.Version, "before", r.version())
+	r.manifest = m
+	r.giver.placer.Configure(m)
+	for name, o := range m.Organisations {
+		if q := r.quotas[name]; q != nil {
+			q.SetLimit(o.Limit, now)
+		}
+	}
+	r.metrics.manifest.Set(float64(m.Version))
+}
+
+func (r *routing) version() int64 {
+	if r.manifest == nil {
+		return 0
+	}
+	return r.manifest.Version
+}
+
+// takeRunner applies a runner's entry or its removal. An entry that lapsed while the store was away gets time to return.
+func (r *routing) takeRunner(change runnerChange, outage bool, now clock.Instant) {
+	switch {
+	case change.gone && outage:
+		r.fleet.Missing(change.id, now)
+	case change.gone:
+		if r.fleet.Get(change.id) != nil {
+			r.fleet.Remove(change.id)
+			r.log.Info("runner gone", "runner", change.id, "reason", "entry removed")
+		}
+	case change.invalid != nil:
+		r.fleet.Remove(change.id)
+		r.log.Warn("runner entry rejected", "runner", change.id, "error", change.invalid.Error())
+	default:
+		a := change.announcement
+		switch r.fleet.Announce(a, now) {
+		case machine.Unchanged, machine.Outdated:
+		default:
+			r.log.Info("runner changed", "runner", a.ID, "service", a.Service, "zone", a.Zone, "boot", a.Boot, "draining", a.Draining)
+		}
+	}
+}
+
+// hasModels reports whether any service has engines that take orders.
+func (r *routing) hasModels() bool {
+	if r.manifest == nil {
+		return false
+	}
+	for _, s := range r.manifest.Services {
+		if s.Engine != nil && len(s.Engine.Models) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// limitOf returns an organisation's quota if it is in the manifest.
+func (r *routing) organisation(name contract.OrganisationName) *contract.Organisation {
+	if r.manifest == nil {
+		return nil
+	}
+	return r.manifest.Organisations[name]
+}
--- /dev/null
+++ b/node/entry/callers.go
@@ -0,0 +1,267 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mangopass/mangopass/duty/clock"
+	"github.com/mangopass/mangopass/duty/ring"
+	"github.com/mangopass/mangopass/fleet/contract"
+	"github.com/mangopass/mangopass/platform"
+)
+
+var errBusy = errors.New("entry: the routing duty is busy")
+
+// callers serves requests in the platform's form. Each request has a goroutine of net/http, which decodes it, waits for
+// the routing duty's decisions on a ring of its own, and carries the attempts out.
+type callers struct {
+	routing   *ring.Ring[message]
+	runners   *platform.Runners
+	bodyLimit int64
+	draining  atomic.Bool
+	open      atomic.Int64 // requests without a final answer
+}
+
+// ServeHTTP implements http.Handler.
+func (h *callers) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.open.Add(1)
+	defer h.open.Add(-1)
+	if h.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	call, refusal := platform.DecodeCall(r, h.bodyLimit, clock.Now())
+	if refusal != nil {
+		platform.WriteRefusal(w, "", refusal)
+		return
+	}
+	x := &exchange{callers: h, w: w, payload: call, call: newCall(r.Context(), &call.Request)}
+	x.serve()
+}
+
+func newCall(ctx context.Context, request *contract.Request) *call {
+	return &call{ctx: ctx, request: request, decisions: ring.New[decision]("decision", 1)}
+}
+
+// exchange is one request with its answer.
+type exchange struct {
+	*callers
+	w       http.ResponseWriter
+	payload *platform.Call
+	call    *call
+
+	headWritten bool
+	lastEvent   string // id of the last event passed on
+	flusher     *http.ResponseController
+}
+
+func (x *exchange) serve() {
+	if !x.routing.TryPush(arrived{call: x.call}) {
+		platform.WriteRefusal(x.w, x.payload.ID, contract.Refuse(contract.Overloaded, time.Second, "too many requests are waiting"))
+		return
+	}
+	for {
+		d, err := x.call.decisions.Pop(x.call.ctx)
+		if err != nil {
+			x.withdraw()
+			return
+		}
+		if d.refusal != nil {
+			x.refuse(d.refusal)
+			return
+		}
+		end := x.attempt(d.attempt)
+		if x.routing.Push(context.WithoutCancel(x.call.ctx), end) != nil || end.final {
+			x.finish(end)
+			return
+		}
+	}
+}
+
+// finish breaks the caller's connection if the answer is not complete.
+func (x *exchange) finish(end ended) {
+	if end.result != resultServed && x.headWritten {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// withdraw tells the routing duty that the caller has gone away. A decision that crosses it is reported as an attempt
+// that was not sent.
+func (x *exchange) withdraw() {
+	ctx := context.WithoutCancel(x.call.ctx)
+	_ = x.routing.Push(ctx, withdrawn{call: x.call})
+	bounded, cancel := context.WithTimeout(ctx, withdrawWait)
+	defer cancel()
+	d, err := x.call.decisions.Pop(bounded)
+	if err == nil && d.refusal == nil {
+		_ = x.routing.Push(ctx, ended{call: x.call, attempt: d.attempt, result: resultGone, final: true})
+	}
+	if x.headWritten {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// withdrawWait is the time for which a decision can cross a withdrawal.
+const withdrawWait = 100 * time.Millisecond
+
+func (x *exchange) refuse(refusal *contract.Refusal) {
+	if x.headWritten {
+		panic(http.ErrAbortHandler) // part of an answer has gone out; only a broken connection shows that it is not whole
+	}
+	platform.WriteRefusal(x.w, x.payload.ID, refusal)
+}
+
+// attempt sends the request to a runner and passes the answer on.
+func (x *exchange) attempt(a attempt) ended {
+	begin := clock.Now()
+	end := ended{call: x.call, attempt: a}
+	ctx, cancel := context.WithCancelCause(x.call.ctx)
+	defer cancel(nil)
+	deadline := time.AfterFunc(a.deadline.Sub(begin), func() { cancel(errDeadline) })
+	defer deadline.Stop()
+	silence := x.silence(a, cancel)
+	defer silence.stop()
+
+	answer, err := x.runners.Send(ctx, x.payload, platform.Attempt{
+		Runner: a.runner, Address: a.address, Tenant: a.tenant, Left: a.deadline.Sub(begin), Priority: a.priority,
+		LastEvent: x.lastEvent,
+	})
+	if err == nil {
+		defer answer.Close()
+		if answer.IsStream() {
+			err = x.stream(answer, a, &end, begin, silence)
+		} else {
+			err = x.whole(answer, &end)
+		}
+	}
+	end.took, end.cause = clock.Now().Sub(begin), err
+	if end.result == resultServed && err != nil {
+		end.result = x.classify(ctx, err)
+		end.final = end.result == resultGone
+	}
+	return end
+}
+
+var (
+	errDeadline = errors.New("the deadline has passed")
+	errSilent   = errors.New("the runner is silent")
+)
+
+// classify turns the failure of an attempt into a result.
+func (x *exchange) classify(ctx context.Context, err error) result {
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, errDeadline):
+		return resultTimeout
+	case x.call.ctx.Err() != nil:
+		return resultGone
+	}
+	switch {
+	case errors.Is(err, platform.ErrNoReplica):
+		return resultNoReplica
+	case errors.Is(err, platform.ErrUnreachable):
+		return resultUnreachable
+	case errors.Is(err, platform.ErrNotExecuted):
+		return resultShed
+	}
+	return resultBroken
+}
+
+// whole passes on an answer that is not a stream, once all of it has arrived.
+func (x *exchange) whole(answer *platform.Answer, end *ended) error {
+	body, err := answer.Whole()
+	if err != nil {
+		return err
+	}
+	if x.headWritten {
+		return errors.Newf("a resumed stream was answered with status %d", answer.Status)
+	}
+	if retriable(x.call, answer.Status) {
+		end.result = resultFailed
+		return errors.Newf("the runner failed with status %d", answer.Status)
+	}
+	end.final = true
+	answer.WriteHead(x.w, len(body))
+	_, _ = x.w.Write(body) // a caller that has gone away needs no answer
+	return nil
+}
+
+// retriable reports whether another runner may answer better. The call's admission is fixed before its first attempt.
+func retriable(c *call, status int) bool {
+	return status >= http.StatusInternalServerError && c.admitted.Route.Kind == contract.Safe &&
+		c.sends < c.admitted.Route.MaxAttempts
+}
+
+// stream passes events on as they come. The head goes out with the first event, so that until then another runner can
+// answer from the start.
+func (x *exchange) stream(answer *platform.Answer, a attempt, end *ended, begin clock.Instant, silence *silenceTimer) error {
+	for {
+		event, err := answer.Next()
+		if errors.Is(err, io.EOF) {
+			end.final = true
+			if !x.headWritten {
+				x.writeHead(answer)
+			}
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		silence.reset()
+		if !end.begun {
+			end.begun = true
+			_ = x.routing.TryPush(started{attempt: a, took: clock.Now().Sub(begin)})
+		}
+		if !x.headWritten {
+			x.writeHead(answer)
+		}
+		end.streaming = true
+		if err := x.pass(event); err != nil {
+			return err
+		}
+	}
+}
+
+func (x *exchange) writeHead(answer *platform.Answer) {
+	x.headWritten = true
+	x.flusher = http.NewResponseController(x.w)
+	answer.WriteHead(x.w, -1)
+}
+
+func (x *exchange) pass(event platform.Event) error {
+	if _, err := x.w.Write(event.Data); err != nil {
+		return errors.Wrap(err, "write to caller")
+	}
+	if event.ID != "" {
+		x.lastEvent = event.ID
+	}
+	return errors.Wrap(x.flusher.Flush(), "flush to caller")
+}
+
+// silenceTimer gives an attempt up when the runner is silent for too long. Without a bound it does nothing.
+type silenceTimer struct {
+	timer *time.Timer
+	bound time.Duration
+}
+
+func (x *exchange) silence(a attempt, cancel context.CancelCauseFunc) *silenceTimer {
+	if a.silence <= 0 {
+		return &silenceTimer{}
+	}
+	return &silenceTimer{timer: time.AfterFunc(a.silence, func() { cancel(errSilent) }), bound: a.silence}
+}
+
+func (s *silenceTimer) reset() {
+	if s.timer != nil {
+		s.timer.Reset(s.bound)
+	}
+}
+
+func (s *silenceTimer) stop() {
+	if s.timer != nil {
+		s.timer.Stop()
+	}
+}
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -1,153 +1,179 @@
-// Package entry assembles the duties of an entry VM: it takes callers' requests, decides on them and carries them to the
-// agents.
+// Package entry runs an entry VM: it takes callers' requests, decides on them, sends them to runners and passes the
+// answers on. Each duty is a goroutine that owns its state; duties are joined by bounded rings.
 package entry
 
 import (
 	"context"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
 	"net/rpc"
-	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
-	goahttp "goa.design/goa/v3/http"
 
-	"github.com/mangopass/mangopass/api/gen/calls"
-	callsserver "github.com/mangopass/mangopass/api/gen/http/calls/server"
 	"github.com/mangopass/mangopass/duty"
 	"github.com/mangopass/mangopass/duty/ring"
-	"github.com/mangopass/mangopass/fleet/contract"
-	"github.com/mangopass/mangopass/fleet/zone"
-	"github.com/mangopass/mangopass/node/confstore"
 	"github.com/mangopass/mangopass/node/metrics"
+	"github.com/mangopass/mangopass/node/rpclink"
 	"github.com/mangopass/mangopass/node/settings"
 	"github.com/mangopass/mangopass/platform"
 )
 
-// ControlService is the name of the entry VM's net/rpc service.
-const ControlService = "Entry"
+// Bounds of the callers' connections until a manifest says otherwise, and of the stop.
+const (
+	headerTimeout = 3 * time.Second
+	idleTimeout   = 20 * time.Second
+	headerBytes   = 20 << 10
+	bodyBytes     = 4 << 20
+	// drainTime is how long new connections are still taken after the readiness probe has failed: the platform needs
+	// two misses, a second apart.
+	drainTime = 2500 * time.Millisecond
+	// stopReserve is kept of the grace for closing connections and writing logs.
+	stopReserve = 500 * time.Millisecond
+	// ordersRing bounds the orders that wait for a duty.
+	ordersRing = 64
+)
 
-// Entry is one entry VM's process.
+// Entry is an entry VM's process.
 type Entry struct {
 	settings *settings.Entry
-	platform platform.Service
 	log      *slog.Logger
-	registry *prometheus.Registry
-	metrics  *entryMetrics
-	requests *open
-	inbox    *ring.Ring[message]
-	forward  *ring.Ring[*dispatch]
+	group    *duty.Group
+	routing  *routing
+	callers  *callers
+	servers  []*http.Server
+}
+
+// New builds the process without starting it.
+func New(s *settings.Entry, log *slog.Logger) *Entry {
+	return &Entry{settings: s, log: log}
 }
 
-// New returns an entry VM that is not running yet.
-func New(s *settings.Entry, p platform.Service, log *slog.Logger) *Entry {
+// Run serves until stop ends and the planned stop is done. It returns the number of requests that the stop cut.
+func (e *Entry) Run(stop context.Context) (int64, error) {
+	boot := time.Now().UnixNano()
 	registry := metrics.NewRegistry()
-	e := &Entry{
-		settings: s, platform: p, log: log, registry: registry,
-		metrics:  newEntryMetrics(registry),
-		requests: &open{ids: make(map[string]struct{})},
-		inbox:    ring.New[message]("admission", s.Intake),
-		forward:  ring.New[*dispatch]("forward", s.Forwarders),
+	e.group = duty.NewGroup(context.Background())
+	e.routing = newRouting(e.settings, boot, e.log, newMetrics(registry))
+	metrics.ObserveRing(registry, e.routing.intake)
+	runners := platform.NewRunners()
+	e.callers = &callers{routing: e.routing.intake, runners: runners, bodyLimit: bodyBytes}
+	e.join(runners, boot)
+	if err := e.listen(registry); err != nil {
+		e.group.Stop()
+		return 0, err
 	}
-	metrics.ObserveRing(registry, e.inbox)
-	metrics.ObserveRing(registry, e.forward)
-	return e
+	e.log.Info("serving", "callers", e.settings.Listen.Callers, "zone", e.settings.Zone, "boot", boot)
+	<-stop.Done()
+	return e.drain(), nil
 }
 
-// Run serves until stop ends, then drains: it takes no new requests and finishes those it has. It returns an error if it
-// could not listen, or the ids of the requests that it had to cut when abort ended or the drain timeout passed.
-func (e *Entry) Run(stop, abort context.Context) (cut []string, err error) {
-	callers, err := net.Listen("tcp", e.settings.Listen)
-	if err != nil {
-		return nil, errors.Wrap(err, "listen")
+// join connects the duties by their rings and starts them.
+func (e *Entry) join(runners *platform.Runners, boot int64) {
+	store := platform.NewStore(e.settings.Store)
+	r := e.routing
+	r.giver.orders = ring.New[orderJob]("orders", ordersRing)
+	r.giver.claims = ring.New[claim]("claims", 4)
+	r.members.connect = e.connect
+	e.group.Go("routing", r.run)
+	for range orderDuties {
+		e.group.Go("orders", (&orders{runners: runners, jobs: r.giver.orders, routing: r.intake}).run)
 	}
-	controls, err := net.Listen("tcp", e.settings.Control)
-	if err != nil {
-		_ = callers.Close()
-		return nil, errors.Wrap(err, "control")
+	keeper := &lease{
+		store: store, routing: r.intake, claims: r.giver.claims, log: e.log, node: e.settings.ID,
+		entry: nodeEntry{Address: e.settings.Between(), Boot: boot}, ttl: max(leaseTime, e.settings.Rules.MinLease()),
 	}
-	duties := duty.NewGroup(context.Background())
-	defer duties.Stop()
-	e.startDuties(duties, controls)
-
-	server := &http.Server{Handler: e.handler(), ReadHeaderTimeout: 10 * time.Second, ErrorLog: slog.NewLogLogger(e.log.Handler(), slog.LevelDebug)}
-	duties.Go("callers", func(context.Context) { _ = server.Serve(callers) })
-	e.log.Info("serving", "listen", e.settings.Listen, "control", e.settings.Control)
+	e.group.Go("lease", keeper.run)
+	e.group.Go("watch", (&watch{store: store, routing: r.intake, log: e.log}).run)
+}
 
-	<-stop.Done()
-	e.log.Info("draining", "open_requests", len(e.requests.list()))
-	bound, cancel := context.WithTimeout(abort, e.settings.DrainTimeout.Std())
-	defer cancel()
-	if server.Shutdown(bound) != nil {
-		cut = e.requests.list()
-		_ = server.Close()
-	}
-	return cut, nil
+// connect starts the duty that reports to a peer.
+func (e *Entry) connect(name string, p *peer) {
+	ctx, stop := context.WithCancel(context.Background())
+	p.stop = stop
+	l := &peerLink{name: name, boot: p.Boot, link: rpclink.New(p.Address), outbox: p.outbox, routing: e.routing.intake}
+	e.group.Go("link "+name, func(group context.Context) {
+		defer context.AfterFunc(group, stop)()
+		l.run(ctx)
+	})
 }
 
-func (e *Entry) startDuties(duties *duty.Group, controls net.Listener) {
-	at := zone.DataCentreID(e.settings.DataCentre)
-	duties.Go("admission", newAdmission(at, zones(e.settings.DataCentres), e.inbox, e.forward, e.log, e.metrics).run)
-	client := newAgentClient(e.settings.Forwarders)
-	for i := range e.settings.Forwarders {
-		f := &forwarder{queue: e.forward, admission: e.inbox, client: client}
-		duties.Go("forward "+strconv.Itoa(i), f.run)
+// listen opens the process's addresses.
+func (e *Entry) listen(registry *prometheus.Registry) error {
+	between, err := net.Listen("tcp", e.settings.Between())
+	if err != nil {
+		return errors.Wrap(err, "listen for peers")
 	}
-	duties.Go("config", func(ctx context.Context) {
-		confstore.Follow(ctx, e.platform, e.log, func(ctx context.Context, c *contract.Config) {
-			_ = e.inbox.Push(ctx, configInForce{config: c})
-		})
-	})
 	server := rpc.NewServer()
-	if err := server.RegisterName(ControlService, &control{admission: e.inbox}); err != nil {
-		panic("entry: net/rpc service: " + err.Error())
+	if err := server.RegisterName("Between", &Between{routing: e.routing.intake}); err != nil {
+		return errors.Wrap(err, "register rpc service")
 	}
-	duties.Go("control", func(ctx context.Context) {
-		duty.Accept(ctx, controls, func(c net.Conn) { server.ServeConn(c) })
+	e.group.Go("peers", func(ctx context.Context) {
+		duty.Accept(ctx, between, func(c net.Conn) { server.ServeConn(c) })
 	})
+	status := http.NewServeMux()
+	status.Handle("GET /metrics", metrics.Handler(registry))
+	for _, l := range []struct {
+		name, address string
+		handler       http.Handler
+	}{
+		{"metrics", e.settings.Metrics(), status},
+		{"ready", e.settings.Listen.Ready, http.HandlerFunc(e.probe)},
+		{"callers", e.settings.Listen.Callers, e.callers},
+	} {
+		if err := e.serve(l.name, l.address, l.handler); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
-func (e *Entry) handler() http.Handler {
-	mux := goahttp.NewMuxer()
-	endpoints := calls.NewEndpoints(&callsService{admission: e.inbox, metrics: e.metrics})
-	callsserver.Mount(mux, callsserver.New(endpoints, mux, goahttp.RequestDecoder, encodeJSON, nil, formatError))
-	root := http.NewServeMux()
-	root.Handle("/v1/", withExchange(mux, e.requests, e.settings.BodyLimitBytes))
-	root.Handle("GET /metrics", metrics.Handler(e.registry))
-	root.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-	return root
-}
-
-func zones(list []settings.DataCentre) *zone.Map {
-	centres := make([]zone.DataCentre, len(list))
-	for i, dc := range list {
-		centres[i] = zone.DataCentre{ID: zone.DataCentreID(dc.ID), Region: zone.RegionID(dc.Region)}
+func (e *Entry) serve(name, address string, handler http.Handler) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Wrapf(err, "listen for %s", name)
 	}
-	return zone.NewMap(centres...)
+	server := &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
+		ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelError), // handlers log what callers do wrong
+	}
+	e.servers = append(e.servers, server)
+	e.group.Go(name, func(context.Context) {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			e.log.Error("listener failed", "listener", name, "error", err.Error())
+		}
+	})
+	return nil
 }
 
-// entryMetrics are the counters of an entry VM.
-type entryMetrics struct {
-	answered   prometheus.Counter
-	retries    prometheus.Counter
-	refused    *prometheus.CounterVec
-	generation prometheus.Gauge
+// probe answers the platform's readiness probe.
+func (e *Entry) probe(w http.ResponseWriter, _ *http.Request) {
+	if !e.routing.ready.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = io.WriteString(w, "ready\n")
 }
 
-func newEntryMetrics(r prometheus.Registerer) *entryMetrics {
-	m := &entryMetrics{
-		answered: prometheus.NewCounter(prometheus.CounterOpts{
-			Namespace: metrics.Namespace, Name: "requests_answered_total", Help: "Requests whose answer was passed on."}),
-		retries: prometheus.NewCounter(prometheus.CounterOpts{
-			Namespace: metrics.Namespace, Name: "retries_total", Help: "Attempts after the first one of a request."}),
-		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Namespace: metrics.Namespace, Name: "requests_refused_total", Help: "Requests refused, by code."}, []string{"code"}),
-		generation: prometheus.NewGauge(prometheus.GaugeOpts{
-			Namespace: metrics.Namespace, Name: "config_generation", Help: "Configuration generation in force."}),
+// drain carries out the planned stop: not ready at once, requests are taken until the platform has moved on, and open
+// requests finish within the grace. It returns the number of requests that are cut.
+func (e *Entry) drain() int64 {
+	_ = e.routing.intake.Push(context.Background(), stopping{})
+	e.callers.draining.Store(true)
+	end := time.Now().Add(e.settings.Rules.Grace() - stopReserve)
+	duty.Pause(context.Background(), drainTime)
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	for _, s := range e.servers {
+		_ = s.Shutdown(ctx) // its error is the context's: the grace is over
+	}
+	cut := e.callers.open.Load()
+	for _, s := range e.servers {
+		_ = s.Close()
 	}
-	r.MustRegister(m.answered, m.retries, m.refused, m.generation)
-	return m
+	e.group.Stop()
+	return cut
 }
--- /dev/null
+++ b/node/entry/lease.go
@@ -0,0 +1,151 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"time"
+
+	"github.com/mangopass/mangopass/duty/clock"
+	"github.com/mangopass/mangopass/duty/ring"
+	"github.com/mangopass/mangopass/platform"
+)
+
+// Figures of the lease on this VM's keys.
+const (
+	// leaseTime is as long as the pause that a new order giver has to keep anyway.
+	leaseTime = 3 * time.Second
+	// renewPeriod leaves room for three lost renewals.
+	renewPeriod = 700 * time.Millisecond
+)
+
+// lease is the duty that keeps this VM's keys in the store: its entry and, if it gives the orders, the holder's key.
+type lease struct {
+	store   *platform.Store
+	routing *ring.Ring[message]
+	claims  *ring.Ring[claim]
+	log     *slog.Logger
+	node    string
+	entry   nodeEntry
+	ttl     time.Duration
+
+	id     platform.LeaseID // zero: none
+	listed bool             // the entry has been written under the lease
+}
+
+func (l *lease) run(ctx context.Context) {
+	next := time.Now()
+	buf := make([]claim, 1)
+	for {
+		n, err := l.claims.PopBatchUntil(ctx, next, buf)
+		if err != nil {
+			return
+		}
+		if n > 0 {
+			l.carryOut(ctx, buf[0])
+			continue
+		}
+		l.keep(ctx)
+		next = time.Now().Add(renewPeriod)
+		if l.id == 0 || !l.listed {
+			next = time.Now().Add(retryPause)
+		}
+	}
+}
+
+// keep renews the lease, or takes a new one and writes the entry under it.
+func (l *lease) keep(ctx context.Context) {
+	sent := clock.Now()
+	if l.id == 0 {
+		id, ttl, outcome, err := l.store.Grant(ctx, l.ttl)
+		if outcome != platform.Applied {
+			l.failed("grant", outcome, err)
+			return
+		}
+		l.id, l.listed = id, false
+		l.renewed(ctx, sent.Add(ttl))
+	} else {
+		ttl, outcome, err := l.store.Renew(ctx, l.id)
+		switch outcome {
+		case platform.Applied:
+			l.renewed(ctx, sent.Add(ttl))
+		case platform.NotFound:
+			l.id = 0
+			l.log.Warn("lease lost")
+			_ = l.routing.Push(ctx, leaseLost{})
+		default:
+			l.failed("renew", outcome, err)
+		}
+	}
+	if l.id != 0 && !l.listed {
+		l.list(ctx)
+	}
+}
+
+func (l *lease) renewed(ctx context.Context, until clock.Instant) {
+	_ = l.routing.Push(ctx, leaseRenewed{until: until})
+}
+
+func (l *lease) list(ctx context.Context) {
+	_, outcome, err := l.store.Commit(ctx, platform.Txn{Writes: []platform.Write{
+		{Key: prefixNodes + l.node, Value: marshal(l.entry), Lease: l.id},
+	}})
+	switch outcome {
+	case platform.Applied:
+		l.listed = true
+	case platform.NotFound:
+		l.id = 0
+	default:
+		l.failed("list", outcome, err)
+	}
+}
+
+func (l *lease) failed(what string, outcome platform.Outcome, err error) {
+	cause := ""
+	if err != nil {
+		cause = err.Error()
+	}
+	l.log.Warn("lease call failed", "call", what, "outcome", outcome.String(), "error", cause)
+}
+
+// carryOut takes or gives up the holder's key. A claim without an answer shows in the watch if it took effect.
+func (l *lease) carryOut(ctx context.Context, c claim) {
+	if l.id == 0 {
+		return
+	}
+	if c.giveUp {
+		_, outcome, err := l.store.Commit(ctx, platform.Txn{Removes: []string{keyHolder}})
+		if outcome != platform.Applied {
+			l.failed("give up term", outcome, err)
+		}
+		return
+	}
+	value := marshal(holderEntry{Node: l.node, Boot: l.entry.Boot})
+	revision, outcome, err := l.store.Commit(ctx, platform.Txn{
+		Conditions: []platform.Condition{{Key: keyHolder}, {Key: keyTenure, Revision: c.tenureRevision}},
+		Writes:     []platform.Write{{Key: keyHolder, Value: value, Lease: l.id}, {Key: keyTenure, Value: value}},
+	})
+	l.log.Info("claim", "outcome", outcome.String(), "fence", revision)
+	switch outcome {
+	case platform.Applied:
+		taken := ownChange{key: keyHolder, value: value, revision: revision, created: revision}
+		_ = l.routing.Push(ctx, storeChangedOwn{taken})
+	case platform.Conflict:
+	default:
+		l.failed("claim", outcome, err)
+	}
+}
+
+// storeChangedOwn is a change of mangopass's own key that this VM made itself.
+type storeChangedOwn struct{ change ownChange }
+
+// apply takes the change over ahead of the watch.
+func (m storeChangedOwn) apply(r *routing, now clock.Instant) { r.takeHolder(m.change, now) }
+
+func marshal(v any) []byte {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic("entry: value without JSON form: " + err.Error())
+	}
+	return data
+}
--- /dev/null
+++ b/node/entry/orders.go
@@ -0,0 +1,46 @@
+package entry
+
+import (
+	"context"
+
+	"github.com/mangopass/mangopass/duty/clock"
+	"github.com/mangopass/mangopass/duty/ring"
+	"github.com/mangopass/mangopass/fleet/machine"
+	"github.com/mangopass/mangopass/platform"
+)
+
+// orderDuties is the number of duties that carry orders to runners; a runner that does not answer holds one of them up.
+const orderDuties = 12
+
+// orders is one of the duties that carry orders and questions to runners.
+type orders struct {
+	runners *platform.Runners
+	jobs    *ring.Ring[orderJob]
+	routing *ring.Ring[message]
+}
+
+func (o *orders) run(ctx context.Context) {
+	for {
+		job, err := o.jobs.Pop(ctx)
+		if err != nil {
+			return
+		}
+		if o.routing.Push(ctx, o.carry(ctx, job)) != nil {
+			return
+		}
+	}
+}
+
+// carry gives one order unless its term may have ended meanwhile, or asks one question.
+func (o *orders) carry(ctx context.Context, job orderJob) message {
+	if job.question != nil {
+		contents, err := o.runners.Report(ctx, job.runner, job.address)
+		return runnerReported{runner: job.runner, boot: job.boot, contents: contents, err: err}
+	}
+	sent := clock.Now()
+	if !sent.Before(job.order.Expires) {
+		return orderAnswered{order: job.order, outcome: machine.OrderNotSent}
+	}
+	outcome, err := o.runners.Order(ctx, job.order)
+	return orderAnswered{order: job.order, outcome: outcome, cause: err, took: clock.Now().Sub(sent)}
+}
--- /dev/null
+++ b/node/entry/peerlink.go
@@ -0,0 +1,51 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/mangopass/mangopass/duty/ring"
+	"github.com/mangopass/mangopass/fleet/link"
+	"github.com/mangopass/mangopass/node/rpclink"
+)
+
+// reportTimeout bounds a report to a peer. A connection can go silent for good, so it is dropped after that.
+const reportTimeout = 400 * time.Millisecond
+
+// Between is the net/rpc service of an entry VM for its peers.
+type Between struct{ routing *ring.Ring[message] }
+
+// Received is the empty reply to a report.
+type Received struct{}
+
+// Report takes a peer's report. It fails if the routing duty has no room for it; the next one then counts.
+func (b *Between) Report(in link.Report, _ *Received) error {
+	if !b.routing.TryPush(peerReported{report: in}) {
+		return errBusy
+	}
+	return nil
+}
+
+// peerLink is the duty that carries reports to one peer.
+type peerLink struct {
+	name    string
+	boot    int64
+	link    *rpclink.Link
+	outbox  *ring.Ring[link.Report]
+	routing *ring.Ring[message]
+}
+
+func (p *peerLink) run(ctx context.Context) {
+	defer p.link.Close()
+	for {
+		report, err := p.outbox.Pop(ctx)
+		if err != nil {
+			return
+		}
+		err = p.link.Call(ctx, reportTimeout, "Between.Report", report, &Received{})
+		done := delivered{node: p.name, boot: p.boot, fence: report.Fence, version: report.Version, ok: err == nil}
+		if p.routing.Push(ctx, done) != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/node/entry/watch.go
@@ -0,0 +1,126 @@
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"strings"
+	"time"
+
+	"github.com/mangopass/mangopass/duty"
+	"github.com/mangopass/mangopass/duty/clock"
+	"github.com/mangopass/mangopass/duty/ring"
+	"github.com/mangopass/mangopass/platform"
+)
+
+// Figures of the watch on the store.
+const (
+	// watchWait is the longest wait of one watch call. Each return proves the manifest's freshness at its sending.
+	watchWait = 1500 * time.Millisecond
+	// watchPause is the time between the return of a watch and the next call, so that frequent changes come in batches.
+	watchPause = 500 * time.Millisecond
+	// retryPause is the time between calls while the store does not answer.
+	retryPause = 250 * time.Millisecond
+	// outageAfter is the time without an answer from which the store counts as having been away.
+	outageAfter = time.Second
+	// outageEffect is how long after the store's return entries can still be missing because of the outage.
+	outageEffect = 2500 * time.Millisecond
+)
+
+// watch is the duty that reads the platform's store: the manifest, the runners and mangopass's own keys.
+type watch struct {
+	store   *platform.Store
+	routing *ring.Ring[message]
+	log     *slog.Logger
+
+	revision  int64 // continue from here; zero: list first
+	answered  clock.Instant
+	returned  clock.Instant // end of the last outage; zero: none
+	available bool
+}
+
+func (w *watch) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause := retryPause
+		if w.once(ctx) {
+			pause = watchPause
+		}
+		if !duty.Pause(ctx, pause) {
+			return
+		}
+	}
+}
+
+// once makes one call and hands on what it brought. It reports whether the store answered.
+func (w *watch) once(ctx context.Context) bool {
+	sent := clock.Now()
+	complete := w.revision == 0
+	var entries []platform.Entry
+	var revision int64
+	var outcome platform.Outcome
+	var err error
+	if complete {
+		entries, revision, outcome, err = w.store.List(ctx, "")
+	} else {
+		entries, revision, outcome, err = w.store.Watch(ctx, "", w.revision, watchWait)
+	}
+	if outcome != platform.Applied {
+		w.failed(outcome, err)
+		return outcome == platform.Compacted
+	}
+	now := clock.Now()
+	if w.answered != 0 && now.Sub(w.answered) > outageAfter+watchWait+watchPause {
+		w.returned = now
+	}
+	w.answered = now
+	if !w.available {
+		w.available = true
+		w.log.Info("store available", "revision", revision, "after_outage", w.returned == now)
+	}
+	w.revision = revision
+	change := decodeChange(entries)
+	change.complete, change.sent = complete, sent
+	change.outage = w.returned != 0 && now.Sub(w.returned) < outageEffect
+	_ = w.routing.Push(ctx, change) // fails only when the process stops
+	return true
+}
+
+func (w *watch) failed(outcome platform.Outcome, err error) {
+	if outcome == platform.Compacted {
+		w.log.Info("store history lost", "revision", w.revision)
+		w.revision = 0
+		return
+	}
+	if w.available {
+		w.available = false
+		cause := ""
+		if err != nil {
+			cause = err.Error()
+		}
+		w.log.Warn("store unavailable", "outcome", outcome.String(), "error", cause)
+	}
+	if w.answered != 0 && clock.Now().Sub(w.answered) > outageAfter {
+		w.revision = 0 // changes may have been missed; list again
+	}
+}
+
+// decodeChange sorts entries by what they concern.
+func decodeChange(entries []platform.Entry) storeChanged {
+	var out storeChanged
+	for _, e := range entries {
+		id, isRunner := platform.RunnerID(e.Key)
+		switch {
+		case e.Key == platform.KeyManifest && !e.Deleted:
+			out.manifest = e.Value
+		case isRunner && e.Deleted:
+			out.runners = append(out.runners, runnerChange{id: id, gone: true})
+		case isRunner:
+			a, err := platform.DecodeRunner(e)
+			out.runners = append(out.runners, runnerChange{id: id, announcement: a, invalid: err})
+		case strings.HasPrefix(e.Key, prefixOwn):
+			out.own = append(out.own, ownChange{
+				key: e.Key, value: e.Value, revision: e.Revision, created: e.Created, gone: e.Deleted,
+			})
+		}
+	}
+	return out
+}
