Keep entries' heartbeat count apart from the count of orders

Cause: a runner's entry and its report both have a field sequence; in the entry it counts heartbeats, in the report accepted orders. Change: entries no longer set the count, and do not replace contents that the order giver or a report stated in the last 3 s.

--- a/fleet/machine/placement.go
+++ b/fleet/machine/placement.go
@@ -76,10 +76,18 @@
 
 // Begin forgets all accounts: each runner is asked for its state before its first order of the term.
 func (p *Placer) Begin() {
-	clear(p.books)
+	p.End()
 	p.cold, p.started = nil, nil
 }
 
+// End gives up all accounts at the end of a term.
+func (p *Placer) End() {
+	clear(p.books)
+	for _, r := range p.fleet.All() {
+		r.accounted = false
+	}
+}
+
 // Observe applies the demand that a node reports.
 func (p *Placer) Observe(node string, asked []Asked, now clock.Instant) {
 	named := make(map[Artifact]bool, len(asked))
--- a/fleet/machine/progress.go
+++ b/fleet/machine/progress.go
@@ -116,7 +116,7 @@
 		c.InMemory, c.OnDisk = r.InMemory, r.OnDisk
 	}
 	r.Adopt(c, now)
-	b.synced = true
+	r.accounted, b.synced = true, true
 	p.touch(id)
 }
 
@@ -148,10 +148,9 @@
 
 // View is the order giver's account of one runner, as its peers get it.
 type View struct {
-	Runner   RunnerID
-	Boot     int64
-	Sequence int64
-	Models   []ModelView
+	Runner RunnerID
+	Boot   int64
+	Models []ModelView
 }
 
 // ModelView is one model of a View.
@@ -179,7 +178,7 @@
 }
 
 func viewOf(r *Runner, now clock.Instant) View {
-	v := View{Runner: r.ID, Boot: r.Boot, Sequence: r.Sequence}
+	v := View{Runner: r.ID, Boot: r.Boot}
 	for _, residence := range r.Resident {
 		m := ModelView{Model: residence.Model, ReadyIn: max(0, residence.ReadyAt.Sub(now))}
 		for a := range residence.Adapters {
@@ -193,10 +192,10 @@
 // ApplyView replaces what is believed of a runner's contents by the order giver's account.
 func (f *Fleet) ApplyView(v View, now clock.Instant) {
 	r := f.runners[v.Runner]
-	if r == nil || r.Boot != v.Boot || v.Sequence < r.Sequence {
+	if r == nil || r.Boot != v.Boot {
 		return
 	}
-	r.Sequence = v.Sequence
+	r.settled = now
 	resident := make(map[contract.ModelName]*Residence, len(v.Models))
 	for _, m := range v.Models {
 		residence := &Residence{Model: m.Model, ReadyAt: now.Add(m.ReadyIn), Adapters: make(map[contract.AdapterName]clock.Instant)}
--- a/fleet/machine/runner.go
+++ b/fleet/machine/runner.go
@@ -25,7 +25,8 @@
 	Boot      int64 // Unix milliseconds of the runner's start
 	Draining  bool
 	LeavesIn  time.Duration // time until a runner at short notice is gone; zero: unknown
-	Contents  Contents
+	Heartbeat int64         // grows with each entry of one start
+	Contents  Contents      // without the count of orders, which entries do not state
 	HasEngine bool // the entry lists models
 }
 
@@ -80,9 +81,16 @@
 	InMemory []contract.ModelName
 	OnDisk   []contract.ModelName
 
+	accounted    bool          // this process gives the runner's orders and knows its contents exactly
+	settled      clock.Instant // the contents were last stated by the runner's report or the order giver
+	heartbeat    int64
 	missingSince clock.Instant // the entry lapsed while the store was away; zero: it is there
 }
 
+// settleFor is the time for which an entry's contents do not replace those that the order giver stated: entries reach
+// the store and this process up to two seconds late.
+const settleFor = 3 * time.Second
+
 // Usable reports whether new requests may be sent to the runner.
 func (r *Runner) Usable(now clock.Instant) bool {
 	return !r.Draining && (r.LeavesAt == 0 || now.Before(r.LeavesAt))
@@ -92,32 +100,36 @@
 func (r *Runner) Holds(m contract.ModelName) *Residence { return r.Resident[m] }
 
 func newRunner(a Announcement) *Runner {
-	return &Runner{ID: a.ID, Boot: a.Boot, Sequence: -1, Resident: make(map[contract.ModelName]*Residence)}
+	return &Runner{ID: a.ID, Boot: a.Boot, Resident: make(map[contract.ModelName]*Residence)}
 }
 
 func (r *Runner) announce(a Announcement, now clock.Instant) {
 	r.Service, r.Address, r.Zone, r.Slots = a.Service, a.Address, a.Zone, a.Slots
 	r.Draining = a.Draining
 	r.Engine = r.Engine || a.HasEngine
-	r.missingSince = 0
+	r.missingSince, r.heartbeat = 0, a.Heartbeat
 	if a.LeavesIn > 0 {
 		r.LeavesAt = now.Add(a.LeavesIn)
 	}
-	switch {
-	case !a.HasEngine || a.Contents.Sequence < r.Sequence:
-	case a.Contents.Sequence > r.Sequence:
-		r.Adopt(a.Contents, now)
-	default:
-		r.InMemory, r.OnDisk = a.Contents.InMemory, a.Contents.OnDisk
+	if !a.HasEngine {
+		return
+	}
+	r.InMemory, r.OnDisk = a.Contents.InMemory, a.Contents.OnDisk
+	if !r.accounted && (r.settled == 0 || now.Sub(r.settled) > settleFor) {
+		r.hold(a.Contents.Models, now)
 	}
 }
 
 // Adopt replaces what is believed of the runner's contents by its own report.
 func (r *Runner) Adopt(c Contents, now clock.Instant) {
-	r.Sequence = c.Sequence
+	r.Sequence, r.settled = c.Sequence, now
 	r.InMemory, r.OnDisk = c.InMemory, c.OnDisk
-	resident := make(map[contract.ModelName]*Residence, len(c.Models))
-	for _, h := range c.Models {
+	r.hold(c.Models, now)
+}
+
+func (r *Runner) hold(holdings []Holding, now clock.Instant) {
+	resident := make(map[contract.ModelName]*Residence, len(holdings))
+	for _, h := range holdings {
 		residence := &Residence{Model: h.Model, ReadyAt: now, Adapters: make(map[contract.AdapterName]clock.Instant, len(h.Adapters))}
 		for _, a := range h.Adapters {
 			residence.Adapters[a] = now
@@ -151,13 +163,13 @@
 	Joined
 	Restarted // the runner started again and holds nothing of before
 	Updated
-	Outdated // it stems from an earlier start of the runner
+	Outdated // a later entry of the runner has been seen
 )
 
 // Announce applies a runner's entry.
 func (f *Fleet) Announce(a Announcement, now clock.Instant) Change {
 	r := f.runners[a.ID]
-	if r != nil && a.Boot < r.Boot {
+	if r != nil && (a.Boot < r.Boot || a.Boot == r.Boot && a.Heartbeat < r.heartbeat) {
 		return Outdated
 	}
 	change := Updated
--- a/node/entry/admission.go
+++ b/node/entry/admission.go
@@ -155,7 +155,7 @@
 		r.giveUp(c, contract.NoRunner, "no runner of the service is usable", now)
 		return
 	}
-	if !now.Before(c.patience) {
+	if !now.Before(c.patience) || r.stopping && !now.Before(r.stopWait) {
 		r.giveUp(c, contract.NoReplica, "no runner holds the model", now)
 		return
 	}
--- a/node/entry/callers.go
+++ b/node/entry/callers.go
@@ -23,6 +23,7 @@
 	routing   *ring.Ring[message]
 	runners   *platform.Runners
 	bodyLimit int64
+	cutoff    context.Context // ends when a planned stop can wait no longer for answers
 	draining  atomic.Bool
 	open      atomic.Int64 // requests without a final answer
 }
@@ -123,6 +124,7 @@
 	defer cancel(nil)
 	deadline := time.AfterFunc(a.deadline.Sub(begin), func() { cancel(errDeadline) })
 	defer deadline.Stop()
+	defer context.AfterFunc(x.cutoff, func() { cancel(errStopping) })()
 	silence := x.silence(a, cancel)
 	defer silence.stop()
 
@@ -149,12 +151,13 @@
 var (
 	errDeadline = errors.New("the deadline has passed")
 	errSilent   = errors.New("the runner is silent")
+	errStopping = errors.New("the process stops")
 )
 
 // classify turns the failure of an attempt into a result.
 func (x *exchange) classify(ctx context.Context, err error) result {
 	switch cause := context.Cause(ctx); {
-	case errors.Is(cause, errDeadline):
+	case errors.Is(cause, errDeadline), errors.Is(cause, errStopping):
 		return resultTimeout
 	case x.call.ctx.Err() != nil:
 		return resultGone
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -31,8 +31,10 @@
 	// drainTime is how long new connections are still taken after the readiness probe has failed: the platform needs
 	// two misses, a second apart.
 	drainTime = 2500 * time.Millisecond
-	// stopReserve is kept of the grace for closing connections and writing logs.
-	stopReserve = 500 * time.Millisecond
+	// stopReserve is kept of the grace for closing connections and writing logs; answerReserve before it for refusing
+	// requests whose runners have not answered.
+	stopReserve   = 400 * time.Millisecond
+	answerReserve = 400 * time.Millisecond
 	// ordersRing bounds the orders that wait for a duty.
 	ordersRing = 64
 )
@@ -45,6 +47,7 @@
 	routing  *routing
 	callers  *callers
 	servers  []*http.Server
+	cutoff   context.CancelFunc
 }
 
 // New builds the process without starting it.
@@ -60,7 +63,9 @@
 	e.routing = newRouting(e.settings, boot, e.log, newMetrics(registry))
 	metrics.ObserveRing(registry, e.routing.intake)
 	runners := platform.NewRunners()
-	e.callers = &callers{routing: e.routing.intake, runners: runners, bodyLimit: bodyBytes}
+	cutoff, cancel := context.WithCancel(context.Background())
+	e.cutoff = cancel
+	e.callers = &callers{routing: e.routing.intake, runners: runners, bodyLimit: bodyBytes, cutoff: cutoff}
 	e.join(runners, boot)
 	if err := e.listen(registry); err != nil {
 		e.group.Stop()
@@ -167,13 +172,15 @@
 	duty.Pause(context.Background(), drainTime)
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
+	cut := time.AfterFunc(time.Until(end)-answerReserve, e.cutoff)
+	defer cut.Stop()
 	for _, s := range e.servers {
 		_ = s.Shutdown(ctx) // its error is the context's: the grace is over
 	}
-	cut := e.callers.open.Load()
+	open := e.callers.open.Load()
 	for _, s := range e.servers {
 		_ = s.Close()
 	}
 	e.group.Stop()
-	return cut
+	return open
 }
--- a/node/entry/giver.go
+++ b/node/entry/giver.go
@@ -103,6 +103,7 @@
 	}
 	r.log.Info("term ends", "fence", r.giver.tenure.Term().Fence, "reason", reason, "was_valid", r.giver.tenure.Holds(now))
 	r.giver.tenure.End()
+	r.giver.placer.End()
 }
 
 // resign gives up the term in a planned stop.
--- a/node/entry/routing.go
+++ b/node/entry/routing.go
@@ -39,6 +39,7 @@
 	rand     *rand.Rand
 	ready    atomic.Bool // read by the readiness probe
 	stopping bool
+	stopWait clock.Instant // during a planned stop: calls wait for a replica no longer
 
 	manifest  *contract.Manifest
 	freshness link.Freshness
@@ -112,7 +113,7 @@
 
 // apply starts the planned stop: the order giver's term passes on at once, so that its pause runs while this VM drains.
 func (stopping) apply(r *routing, now clock.Instant) {
-	r.stopping = true
+	r.stopping, r.stopWait = true, now.Add(drainTime)
 	r.log.Info("stopping", "waiting", len(r.waiting))
 	r.resign(now)
 }
