--- a/fleet/link/report.go
+++ b/fleet/link/report.go
@@ -1,6 +1,8 @@
 package link
 
 import (
+	"time"
+
 	"github.com/mangopass/mangopass/fleet/contract"
 	"github.com/mangopass/mangopass/fleet/machine"
 )
@@ -12,14 +14,21 @@
 	Sequence uint64
 	Stopping bool
 	Loads    []Load
-	Asked    []machine.Asked // to the order giver only
+	Asked    []machine.Asked
 	Spent    []Spent
 	Struck   []uint64 // digests of requests whose run broke off since the last report
 
-	// From the order giver only.
-	Fence   int64 // of its term; zero from others
-	Version uint64
-	Views   []machine.View
+	Version uint64         // of the accounts of the runners whose orders the node gives
+	Views   []machine.View // those accounts that changed
+	Wishes  []machine.Wish // for runners whose orders the receiver gives
+	Ended   []Ended        // terms that the node held before
+}
+
+// Ended says that a node gives no more orders to a shard under a term.
+type Ended struct {
+	Shard machine.Shard
+	Fence int64
+	Since time.Duration // time since its last order could be sent
 }
 
 // Spent is what a node has admitted for an organisation since its start.
--- a/fleet/machine/order.go
+++ b/fleet/machine/order.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/mangopass/mangopass/duty/clock"
 	"github.com/mangopass/mangopass/fleet/contract"
 )
@@ -57,6 +59,15 @@
 	return [...]string{"unknown", "accepted", "holds", "conflict", "rejected", "not_sent"}[o]
 }
 
+// Shard is a part of the runners with one order giver.
+type Shard int
+
+// Shards is the number of shards. A lost order giver holds up the orders to its shards only.
+const Shards = 16
+
+// ShardOf returns the shard of a runner.
+func ShardOf(id RunnerID) Shard { return Shard(xxhash.Sum64String(string(id)) % Shards) }
+
 // Term is one holder's exclusive right to give orders.
 type Term struct {
 	Holder string
--- a/fleet/machine/placement.go
+++ b/fleet/machine/placement.go
@@ -36,55 +36,58 @@
 	comingAdapters = 4
 )
 
-// Ceiling bounds the loads from the weight store over all runners.
-type Ceiling struct {
-	Window time.Duration
-	Over   float64 // factor on the stated rate
-	Extra  float64 // loads beyond it
-}
-
 // Usage tells how many requests run or wait at a runner for an artifact, over all entry VMs.
 type Usage interface {
 	InUse(r RunnerID, a Artifact) int
 	Queued(r RunnerID) time.Duration // prefill time that waits at the runner
 }
 
-// Placer decides which models and adapters each runner holds. It keeps the order giver's exact account of every runner.
+// Authority tells which runners' orders this process gives.
+type Authority interface {
+	MayOrder(r RunnerID, now clock.Instant) bool
+}
+
+// Wish asks the order giver of a runner to load a model or an adapter there.
+type Wish struct {
+	Runner  RunnerID
+	Boot    int64
+	Model   contract.ModelName
+	Adapter contract.AdapterName // empty: the model itself
+}
+
+// Placer decides which models and adapters each runner holds. For the runners whose orders this process gives it keeps
+// an exact account; for the others it relies on the views of their order givers and asks them by wishes.
 type Placer struct {
-	fleet    *Fleet
-	usage    Usage
-	ceiling  Ceiling
-	services map[contract.ServiceName]*contract.Service
-	books    map[RunnerID]*book
-	demands  map[Artifact]*demand
-	cold     []clock.Instant // ends of loads from the weight store that are in progress
-	started  []clock.Instant // starts of loads from the weight store inside the window
-	changed  map[RunnerID]uint64
-	version  uint64
+	fleet     *Fleet
+	usage     Usage
+	authority Authority
+	services  map[contract.ServiceName]*contract.Service
+	books     map[RunnerID]*book
+	remotes   map[RunnerID]*remote
+	demands   map[Artifact]*demand
+	changed   map[RunnerID]uint64
+	version   uint64
 }
 
 // NewPlacer returns a placer without knowledge of any runner's state.
-func NewPlacer(fleet *Fleet, usage Usage, ceiling Ceiling) *Placer {
+func NewPlacer(fleet *Fleet, usage Usage, authority Authority) *Placer {
 	return &Placer{
-		fleet: fleet, usage: usage, ceiling: ceiling, books: make(map[RunnerID]*book),
-		demands: make(map[Artifact]*demand), changed: make(map[RunnerID]uint64),
+		fleet: fleet, usage: usage, authority: authority, books: make(map[RunnerID]*book),
+		remotes: make(map[RunnerID]*remote), demands: make(map[Artifact]*demand), changed: make(map[RunnerID]uint64),
 	}
 }
 
 // Configure applies a manifest.
 func (p *Placer) Configure(m *contract.Manifest) { p.services = m.Services }
 
-// Begin forgets all accounts: each runner is asked for its state before its first order of the term.
-func (p *Placer) Begin() {
-	p.End()
-	p.cold, p.started = nil, nil
-}
-
-// End gives up all accounts at the end of a term.
-func (p *Placer) End() {
-	clear(p.books)
+// Forsake forgets the accounts of a shard's runners when a term over them begins or ends: each runner is asked for its
+// state before its first order of a term.
+func (p *Placer) Forsake(s Shard) {
 	for _, r := range p.fleet.All() {
-		r.accounted = false
+		if ShardOf(r.ID) == s {
+			delete(p.books, r.ID)
+			r.accounted = false
+		}
 	}
 }
 
@@ -102,8 +105,8 @@
 	}
 }
 
-// Forget drops the waiting requests of a node that is gone.
-func (p *Placer) Forget(node string, now clock.Instant) { p.Observe(node, nil, now) }
+// ForgetNode drops the waiting requests of a node that is gone.
+func (p *Placer) ForgetNode(node string, now clock.Instant) { p.Observe(node, nil, now) }
 
 func (p *Placer) demand(a Artifact, now clock.Instant) *demand {
 	d := p.demands[a]
@@ -114,18 +117,20 @@
 	return d
 }
 
-// Plan is what the order giver does next.
+// Plan is what is to be done next.
 type Plan struct {
 	Orders    []Order
 	Questions []*Runner // runners to ask for their state
+	Wishes    []Wish    // for the order givers of other runners
 }
 
-// Plan returns the orders and questions that are due at now. At most one order per runner is unanswered at a time.
-func (p *Placer) Plan(now clock.Instant) Plan {
+// Plan returns the orders, questions and wishes that are due at now. At most one order per runner is unanswered at a
+// time. Only the planner decides on placement; every order giver carries on what is under way at its own runners.
+func (p *Placer) Plan(planner bool, now clock.Instant) Plan {
 	var plan Plan
 	p.forgetOld(now)
 	for _, r := range p.fleet.All() {
-		if p.engine(r) == nil || !r.Usable(now) {
+		if p.engine(r) == nil || !r.Usable(now) || !p.authority.MayOrder(r.ID, now) {
 			continue
 		}
 		b := p.book(r)
@@ -138,12 +143,71 @@
 			p.step(r, b, now, &plan)
 		}
 	}
-	p.placeMissing(now, &plan)
-	p.placeReplicas(now, &plan)
-	p.placeAdapters(now, &plan)
+	if planner {
+		p.placeMissing(now, &plan)
+		p.placeReplicas(now, &plan)
+		p.placeAdapters(now, &plan)
+	}
+	return plan
+}
+
+// Grant carries out another node's wish if the runner's account allows it.
+func (p *Placer) Grant(w Wish, now clock.Instant) Plan {
+	var plan Plan
+	r := p.fleet.Get(w.Runner)
+	if r == nil || r.Boot != w.Boot || p.engine(r) == nil || !r.Usable(now) || !p.authority.MayOrder(r.ID, now) || !p.idle(r, now) {
+		return plan
+	}
+	if w.Adapter != "" {
+		p.loadAdapter(r, Artifact{Service: r.Service, Model: w.Model, Adapter: w.Adapter}, now, &plan)
+		return plan
+	}
+	model, known := p.engine(r).Models[w.Model]
+	if !known || r.Holds(w.Model) != nil {
+		return plan
+	}
+	if victims, _, ok := p.evict(r, p.engine(r), model.WeightsMB, now); ok {
+		p.begin(r, w.Model, victims, now, &plan)
+	}
 	return plan
 }
 
+// begin starts a swap at a runner, or wishes for it.
+func (p *Placer) begin(r *Runner, model contract.ModelName, victims []contract.ModelName, now clock.Instant, plan *Plan) {
+	if !p.authority.MayOrder(r.ID, now) {
+		p.wish(r, model, "", now, plan)
+		return
+	}
+	b := p.book(r)
+	b.swap = &swap{victims: victims, model: model}
+	p.touch(r.ID)
+	p.step(r, b, now, plan)
+}
+
+func (p *Placer) wish(r *Runner, model contract.ModelName, adapter contract.AdapterName, now clock.Instant, plan *Plan) {
+	plan.Wishes = append(plan.Wishes, Wish{Runner: r.ID, Boot: r.Boot, Model: model, Adapter: adapter})
+	p.remote(r).wished(model, adapter, now)
+}
+
+// idle reports whether a runner can take an order now.
+func (p *Placer) idle(r *Runner, now clock.Instant) bool {
+	if p.authority.MayOrder(r.ID, now) {
+		return p.book(r).idle(now)
+	}
+	return p.remote(r).idle(now)
+}
+
+// coming reports whether a runner is about to load a model or an adapter that it does not list yet.
+func (p *Placer) coming(r *Runner, m contract.ModelName, a contract.AdapterName, now clock.Instant) bool {
+	if p.authority.MayOrder(r.ID, now) {
+		b := p.books[r.ID]
+		return b != nil && b.boot == r.Boot && (a == "" && b.swap != nil && b.swap.model == m ||
+			b.pending != nil && b.pending.Kind == Load && b.pending.Model == m && b.pending.Adapter == a)
+	}
+	remote := p.remotes[r.ID]
+	return remote != nil && remote.boot == r.Boot && remote.coming(m, a, now)
+}
+
 func (p *Placer) engine(r *Runner) *contract.Engine {
 	if s := p.services[r.Service]; s != nil && r.Engine {
 		return s.Engine
@@ -161,8 +225,6 @@
 }
 
 func (p *Placer) forgetOld(now clock.Instant) {
-	p.cold = slices.DeleteFunc(p.cold, func(end clock.Instant) bool { return !end.After(now) })
-	p.started = slices.DeleteFunc(p.started, func(at clock.Instant) bool { return now.Sub(at) > p.ceiling.Window })
 	for a, d := range p.demands {
 		d.decay(now)
 		if d.idle() {
@@ -174,6 +236,11 @@
 			delete(p.books, id)
 		}
 	}
+	for id := range p.remotes {
+		if p.fleet.Get(id) == nil {
+			delete(p.remotes, id)
+		}
+	}
 }
 
 // step gives the next order of a swap.
@@ -243,8 +310,7 @@
 		if r.Service != a.Service || !r.Usable(now) {
 			continue
 		}
-		b := p.books[r.ID]
-		if r.Holds(a.Model) != nil || b != nil && b.swap != nil && b.swap.model == a.Model {
+		if r.Holds(a.Model) != nil || p.coming(r, a.Model, "", now) {
 			n++
 		}
 	}
@@ -298,7 +364,7 @@
 			continue
 		}
 		model, known := e.Models[a.Model]
-		if !known || !p.book(r).idle(now) || model.LoadCold == p.loadTime(r, model) && !p.mayLoadCold(e, now) {
+		if !known || !p.idle(r, now) || model.LoadCold == p.loadTime(r, model) && !p.mayLoadCold(now) {
 			continue
 		}
 		out, lost, ok := p.evict(r, e, model.WeightsMB, now)
@@ -313,9 +379,7 @@
 	if best == nil {
 		return
 	}
-	b := p.book(best)
-	b.swap = &swap{victims: victims, model: a.Model}
-	p.step(best, b, now, plan)
+	p.begin(best, a.Model, victims, now, plan)
 }
 
 // loadTime returns how long a runner takes to load a model from its nearest copy.
@@ -329,9 +393,27 @@
 	return m.LoadCold
 }
 
-func (p *Placer) mayLoadCold(e *contract.Engine, now clock.Instant) bool {
-	bound := e.LoadsPerSecond*p.ceiling.Window.Seconds()*p.ceiling.Over + p.ceiling.Extra - 1
-	return len(p.cold) < coldLoadsAtOnce && float64(len(p.started)) < bound
+// mayLoadCold reports whether the weight store has room for one more load. The bound on loads at once keeps their number
+// per second far below the weight store's rate, since each takes seconds.
+func (p *Placer) mayLoadCold(now clock.Instant) bool {
+	loading := 0
+	for _, r := range p.fleet.All() {
+		e := p.engine(r)
+		if e == nil {
+			continue
+		}
+		for name, residence := range r.Resident {
+			if residence.ReadyAt.Sub(now) > e.Models[name].LoadDisk+loadMargin {
+				loading++
+			}
+		}
+		if remote := p.remotes[r.ID]; remote != nil && remote.wishUntil.After(now) && remote.wish.Adapter == "" {
+			if m, ok := e.Models[remote.wish.Model]; ok && p.loadTime(r, m) == m.LoadCold {
+				loading++
+			}
+		}
+	}
+	return loading < coldLoadsAtOnce
 }
 
 // evict chooses the models of least value whose removal makes room, and returns the value lost.
@@ -441,18 +523,14 @@
 		if residence == nil {
 			continue
 		}
-		if _, held := residence.Adapters[a.Adapter]; held {
+		if _, held := residence.Adapters[a.Adapter]; held || p.coming(r, a.Model, a.Adapter, now) {
 			return
 		}
-		b := p.book(r)
-		if b.pending != nil && b.pending.Model == a.Model && b.pending.Adapter == a.Adapter {
-			return
-		}
-		if !residence.Ready("", now) || !b.idle(now) {
+		if !residence.Ready("", now) || !p.idle(r, now) {
 			continue
 		}
 		cost := p.usage.Queued(r.ID).Seconds()
-		if adapterCount(r) >= p.engine(r).AdapterSlots || p.room(r, a.Model, a.Adapter) < 0 {
+		if !p.adapterFits(r, a) {
 			if _, ok := p.oldestAdapter(r, now); !ok {
 				continue
 			}
@@ -462,18 +540,37 @@
 			best, lowest = r, cost
 		}
 	}
-	if best == nil {
+	switch {
+	case best == nil:
+	case p.authority.MayOrder(best.ID, now):
+		p.loadAdapter(best, a, now, plan)
+	default:
+		p.wish(best, a.Model, a.Adapter, now, plan)
+	}
+}
+
+func (p *Placer) adapterFits(r *Runner, a Artifact) bool {
+	return adapterCount(r) < p.engine(r).AdapterSlots && p.room(r, a.Model, a.Adapter) >= 0
+}
+
+// loadAdapter orders an adapter's load, or the unload of another one that stands in its way.
+func (p *Placer) loadAdapter(r *Runner, a Artifact, now clock.Instant, plan *Plan) {
+	residence := r.Holds(a.Model)
+	if residence == nil || !residence.Ready("", now) {
+		return
+	}
+	if _, held := residence.Adapters[a.Adapter]; held {
 		return
 	}
-	b := p.book(best)
-	if adapterCount(best) < p.engine(best).AdapterSlots && p.room(best, a.Model, a.Adapter) >= 0 {
-		if comingCount(best, now) < comingAdapters {
-			p.give(best, b, Load, a.Model, a.Adapter, plan)
+	b := p.book(r)
+	if p.adapterFits(r, a) {
+		if comingCount(r, now) < comingAdapters {
+			p.give(r, b, Load, a.Model, a.Adapter, plan)
 		}
 		return
 	}
-	if victim, ok := p.oldestAdapter(best, now); ok {
-		p.give(best, b, Unload, victim.Model, victim.Adapter, plan)
+	if victim, ok := p.oldestAdapter(r, now); ok {
+		p.give(r, b, Unload, victim.Model, victim.Adapter, plan)
 	}
 }
 
--- a/fleet/machine/progress.go
+++ b/fleet/machine/progress.go
@@ -15,12 +15,12 @@
 		return // of an earlier term or an earlier start of the runner
 	}
 	b.pending = nil
+	p.touch(r.ID)
 	switch outcome {
 	case OrderAccepted, OrderHolds:
 		b.conflicts = 0
 		r.Sequence = max(r.Sequence, o.Expected+1)
 		p.carriedOut(r, b, o, now)
-		p.touch(r.ID)
 		if outcome == OrderHolds && o.Adapter == "" {
 			b.unsync(now) // whether it counted as an order shows in the report
 		}
@@ -71,12 +71,6 @@
 	}
 	model := e.Models[name]
 	takes := p.loadTime(r, model)
-	if takes == model.LoadCold {
-		takes = takes * time.Duration(max(1, len(p.cold)+1)) / coldLoadsAtOnce
-		takes = max(takes, model.LoadCold)
-		p.cold = append(p.cold, now.Add(takes))
-		p.started = append(p.started, now)
-	}
 	ready := now.Add(takes + loadMargin)
 	r.Resident[name] = &Residence{Model: name, ReadyAt: ready, Adapters: make(map[contract.AdapterName]clock.Instant)}
 	b.swap = nil
@@ -148,9 +142,13 @@
 
 // View is the order giver's account of one runner, as its peers get it.
 type View struct {
-	Runner RunnerID
-	Boot   int64
-	Models []ModelView
+	Runner  RunnerID
+	Boot    int64
+	Fence   int64         // of the term under which the account is kept
+	Known   bool          // the account is exact; orders can be given
+	BusyFor time.Duration // time until the runner can take the next order
+	Coming  contract.ModelName
+	Models  []ModelView
 }
 
 // ModelView is one model of a View.
@@ -163,22 +161,26 @@
 // Version returns the number of changes of the account so far.
 func (p *Placer) Version() uint64 { return p.version }
 
-// Views returns the accounts that changed after a version.
-func (p *Placer) Views(after uint64, now clock.Instant) []View {
+// Views returns the accounts that changed after a version, for the runners whose orders this process gives.
+func (p *Placer) Views(after uint64, fence func(RunnerID) int64, now clock.Instant) []View {
 	if after >= p.version {
 		return nil
 	}
 	var views []View
 	for _, r := range p.fleet.All() {
-		if p.changed[r.ID] > after {
-			views = append(views, viewOf(r, now))
+		if p.changed[r.ID] > after && p.authority.MayOrder(r.ID, now) {
+			views = append(views, p.view(r, fence(r.ID), now))
 		}
 	}
 	return views
 }
 
-func viewOf(r *Runner, now clock.Instant) View {
-	v := View{Runner: r.ID, Boot: r.Boot}
+func (p *Placer) view(r *Runner, fence int64, now clock.Instant) View {
+	b := p.book(r)
+	v := View{Runner: r.ID, Boot: r.Boot, Fence: fence, Known: b.synced, BusyFor: max(0, b.busyUntil.Sub(now))}
+	if b.swap != nil {
+		v.Coming = b.swap.model
+	}
 	for _, residence := range r.Resident {
 		m := ModelView{Model: residence.Model, ReadyIn: max(0, residence.ReadyAt.Sub(now))}
 		for a := range residence.Adapters {
@@ -188,21 +190,3 @@
 	}
 	return v
 }
-
-// ApplyView replaces what is believed of a runner's contents by the order giver's account.
-func (f *Fleet) ApplyView(v View, now clock.Instant) {
-	r := f.runners[v.Runner]
-	if r == nil || r.Boot != v.Boot {
-		return
-	}
-	r.settled = now
-	resident := make(map[contract.ModelName]*Residence, len(v.Models))
-	for _, m := range v.Models {
-		residence := &Residence{Model: m.Model, ReadyAt: now.Add(m.ReadyIn), Adapters: make(map[contract.AdapterName]clock.Instant)}
-		for _, a := range m.Adapters {
-			residence.Adapters[a] = now
-		}
-		resident[m.Model] = residence
-	}
-	r.Resident = resident
-}
--- a/fleet/machine/runner.go
+++ b/fleet/machine/runner.go
@@ -27,7 +27,7 @@
 	LeavesIn  time.Duration // time until a runner at short notice is gone; zero: unknown
 	Heartbeat int64         // grows with each entry of one start
 	Contents  Contents      // without the count of orders, which entries do not state
-	HasEngine bool // the entry lists models
+	HasEngine bool          // the entry lists models
 }
 
 // Contents is what a runner holds after a number of accepted orders.
--- a/node/entry/admission.go
+++ b/node/entry/admission.go
@@ -39,7 +39,7 @@
 		return
 	}
 	r.budget(c.service).Request(now)
-	r.note(c, now)
+	r.note(c)
 	r.decide(c, now)
 }
 
@@ -103,30 +103,24 @@
 }
 
 // note counts the demand for a call's model.
-func (r *routing) note(c *call, now clock.Instant) {
+func (r *routing) note(c *call) {
 	if c.artifact.Model == "" {
 		return
 	}
-	a := r.askedFor(c.artifact)
-	a.Arrivals++
-	a.Work += link.PrefillTime(c.request.PromptTokens)
-	if model, ok := r.model(c); ok && c.admitted.Route.Objective < model.LoadDisk+firstToken+urgencyMargin {
-		a.Urgent++
-	}
+	model, known := r.model(c)
+	urgent := known && c.admitted.Route.Objective < model.LoadDisk+firstToken+urgencyMargin
+	r.eachAsked(c.artifact, func(a *machine.Asked) {
+		a.Arrivals++
+		a.Work += link.PrefillTime(c.request.PromptTokens)
+		if urgent {
+			a.Urgent++
+		}
+	})
 }
 
 // urgencyMargin is the time beyond a load and the first token that a request must have to count as able to wait.
 const urgencyMargin = 300 * time.Millisecond
 
-func (r *routing) askedFor(a machine.Artifact) *machine.Asked {
-	asked := r.asked[a]
-	if asked == nil {
-		asked = &machine.Asked{Artifact: a}
-		r.asked[a] = asked
-	}
-	return asked
-}
-
 // model returns the model that a call names.
 func (r *routing) model(c *call) (contract.Model, bool) {
 	s := r.manifest.Services[c.service]
@@ -206,10 +200,12 @@
 	}
 	c.waiting = true
 	r.waiting = append(r.waiting, c)
-	r.askedFor(c.artifact).Waiting++
-	r.members.urgent = true
+	r.eachAsked(c.artifact, func(a *machine.Asked) { a.Waiting++ })
+	if p := r.members.peers[r.members.planner]; p != nil {
+		p.urgent = true
+	}
 	r.log.Info("waiting", "request", c.request.ID, "model", c.artifact.Model, "adapter", c.artifact.Adapter,
-		"patience_ms", c.patience.Sub(now).Milliseconds(), "order_giver", r.members.giver)
+		"patience_ms", c.patience.Sub(now).Milliseconds(), "planner", r.members.planner)
 }
 
 func (r *routing) stopWaiting(c *call) {
@@ -217,9 +213,7 @@
 		return
 	}
 	c.waiting = false
-	if a := r.askedFor(c.artifact); a.Waiting > 0 {
-		a.Waiting--
-	}
+	r.eachAsked(c.artifact, func(a *machine.Asked) { a.Waiting = max(0, a.Waiting-1) })
 }
 
 // retryWaiting decides again on each waiting call.
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -16,6 +16,7 @@
 
 	"github.com/mangopass/mangopass/duty"
 	"github.com/mangopass/mangopass/duty/ring"
+	"github.com/mangopass/mangopass/fleet/machine"
 	"github.com/mangopass/mangopass/node/metrics"
 	"github.com/mangopass/mangopass/node/rpclink"
 	"github.com/mangopass/mangopass/node/settings"
@@ -81,7 +82,7 @@
 	store := platform.NewStore(e.settings.Store)
 	r := e.routing
 	r.giver.orders = ring.New[orderJob]("orders", ordersRing)
-	r.giver.claims = ring.New[claim]("claims", 4)
+	r.giver.claims = ring.New[claim]("claims", 2*machine.Shards)
 	r.members.connect = e.connect
 	e.group.Go("routing", r.run)
 	for range orderDuties {
--- a/node/entry/giver.go
+++ b/node/entry/giver.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"sync/atomic"
 	"time"
 
 	"github.com/mangopass/mangopass/duty/clock"
@@ -10,215 +11,217 @@
 	"github.com/mangopass/mangopass/fleet/machine"
 )
 
-// Figures of the order giver's election.
-const (
-	// claimStagger separates the claims of the entry VMs, the youngest first: in a rolling restart it is the one that
-	// has been restarted already.
-	claimStagger = 120 * time.Millisecond
-	// claimPause is the time between two claims of one VM.
-	claimPause = 500 * time.Millisecond
-)
+// endedMemory is how long a node tells its peers of a term that it held before.
+const endedMemory = 10 * time.Second
 
-// holderEntry is the value of keyHolder and keyTenure.
-type holderEntry struct {
-	Node string `json:"node"`
-	Boot int64  `json:"boot"`
+// giver is the part of the routing duty that gives orders to the runners of the shards which this VM holds.
+type giver struct {
+	placer *machine.Placer
+	orders *ring.Ring[orderJob]
+	claims *ring.Ring[claim]
+	listed bool          // mangopass's own keys have been read
+	until  clock.Instant // end of the lease under which this VM's keys live
+	shards [machine.Shards]shard
 }
 
-// giver is the part of the routing duty that gives orders while this VM holds the term.
-type giver struct {
-	placer    *machine.Placer
-	tenure    machine.Tenure
-	orders    *ring.Ring[orderJob]
-	claims    *ring.Ring[claim]
-	listed    bool      // the store's own keys have been read
-	holder    ownChange // keyHolder as last seen
-	tenureKey ownChange // keyTenure as last seen
-	until     clock.Instant
-	vacant    clock.Instant // the key has been free since; zero: it is held
-	claimAt   clock.Instant // earliest next claim
+// shard is what this VM knows of one shard's order giver.
+type shard struct {
+	tenure machine.Tenure
+	live   *atomic.Bool // read by the order duties; cleared when the term ends
+	holder ownChange    // the holder's key as last seen
+	owner  string       // the node that it names; empty: none
+	last   ownChange    // the last term's key as last seen; its revision is that term's fence
+	before ownChange    // the same when this VM sent its claim, which succeeds only if nothing has changed
+
+	endedFence    int64 // this VM's own last term
+	endedAt       clock.Instant
+	releasedFence int64 // a peer's word that it gives no more orders under this fence
+	releasedAt    clock.Instant
+
+	vacant  clock.Instant // the shard has had no holder since; zero: it has one
+	claimAt clock.Instant // earliest next claim
 }
 
 // orderJob is an order to give or a runner to ask.
 type orderJob struct {
 	order    machine.Order
-	question *machine.Runner // set: ask this runner for its state
+	live     *atomic.Bool
+	question bool // ask the runner for its state
 	runner   machine.RunnerID
 	boot     int64
 	address  string
 }
 
-// claim asks the lease duty to take or to give up the holder's key.
-type claim struct {
-	giveUp         bool
-	tenureRevision int64
+// MayOrder implements machine.Authority.
+func (g *giver) MayOrder(r machine.RunnerID, now clock.Instant) bool {
+	return g.shards[machine.ShardOf(r)].tenure.MayOrder(now)
 }
 
-// takeHolder applies a change of the holder's key.
-func (r *routing) takeHolder(c ownChange, now clock.Instant) {
-	if c.revision < r.giver.holder.revision {
-		return
-	}
-	r.giver.holder = c
-	if c.gone {
-		r.members.giver = ""
-		return
-	}
-	r.giver.vacant = 0
-	var e holderEntry
-	if err := json.Unmarshal(c.value, &e); err != nil {
-		r.log.Error("holder entry rejected", "error", err.Error())
-		return
-	}
-	if c.created > r.members.fence {
-		r.members.fence = c.created
-	}
-	r.members.giver = e.Node
-	switch {
-	case e.Node == r.node && e.Boot == r.boot:
-		r.beginTerm(c.created, now)
-	case r.giver.tenure.Term().Fence != 0 && r.giver.tenure.Term().Fence < c.created:
-		r.endTerm("another VM took the term", now)
+// fence returns the fence of the term over a runner's shard.
+func (g *giver) fence(r machine.RunnerID) int64 {
+	return g.shards[machine.ShardOf(r)].tenure.Term().Fence
+}
+
+// held returns the number of shards that this VM holds.
+func (g *giver) held(now clock.Instant) int {
+	n := 0
+	for i := range g.shards {
+		if g.shards[i].tenure.Holds(now) {
+			n++
+		}
 	}
+	return n
 }
 
-// beginTerm starts giving orders under a fence, after the pause that the previous order giver's last orders demand.
-func (r *routing) beginTerm(fence int64, now clock.Instant) {
-	if r.giver.tenure.Term().Fence == fence || r.stopping || !now.Before(r.giver.until) {
+// beginTerm starts a term over a shard, after the pause that the previous holder's last orders demand.
+func (r *routing) beginTerm(k machine.Shard, fence int64, now clock.Instant) {
+	s := &r.giver.shards[k]
+	if s.tenure.Term().Fence == fence || r.stopping || !now.Before(r.giver.until) {
 		return
 	}
-	quiet := r.rules.Lease()
+	taken, quiet := now, r.rules.Lease()
 	var last holderEntry
-	if r.giver.tenureKey.value == nil || json.Unmarshal(r.giver.tenureKey.value, &last) == nil && last.Node == r.node {
+	switch {
+	case s.before.value == nil || json.Unmarshal(s.before.value, &last) == nil && last.Node == r.node:
 		quiet = 0
+	case s.releasedFence == s.before.revision:
+		taken = s.releasedAt
+	}
+	s.tenure.Begin(machine.Term{Holder: r.node, Fence: fence}, taken, quiet, r.giver.until)
+	s.live = new(atomic.Bool)
+	s.live.Store(true)
+	r.giver.placer.Forsake(k)
+	r.log.Info("term begins", "shard", k, "fence", fence, "orders_in_ms", max(0, s.tenure.From().Sub(now)).Milliseconds(),
+		"previous", last.Node)
+}
+
+// endTerm ends a term over a shard; no order is sent under it any more.
+func (r *routing) endTerm(k machine.Shard, reason string, now clock.Instant) {
+	s := &r.giver.shards[k]
+	fence := s.tenure.Term().Fence
+	if fence == 0 {
+		return
 	}
-	r.giver.tenure.Begin(machine.Term{Holder: r.node, Fence: fence}, now, quiet, r.giver.until)
-	r.giver.placer.Begin()
-	r.log.Info("term begins", "fence", fence, "quiet_ms", quiet.Milliseconds(), "previous", last.Node)
+	s.live.Store(false)
+	s.endedFence, s.endedAt = fence, now
+	s.tenure.End()
+	r.giver.placer.Forsake(k)
+	r.log.Info("term ends", "shard", k, "fence", fence, "reason", reason)
 }
 
-func (r *routing) endTerm(reason string, now clock.Instant) {
-	if r.giver.tenure.Term().Fence == 0 {
-		return
+// resign gives up all terms in a planned stop.
+func (r *routing) resign(now clock.Instant) {
+	for k := range r.giver.shards {
+		s := &r.giver.shards[k]
+		if s.tenure.Term().Fence == 0 {
+			continue
+		}
+		r.endTerm(machine.Shard(k), "planned stop", now)
+		r.giver.claims.TryPush(claim{shard: machine.Shard(k), giveUp: true, holderRevision: s.holder.revision})
 	}
-	r.log.Info("term ends", "fence", r.giver.tenure.Term().Fence, "reason", reason, "was_valid", r.giver.tenure.Holds(now))
-	r.giver.tenure.End()
-	r.giver.placer.End()
 }
 
-// resign gives up the term in a planned stop.
-func (r *routing) resign(now clock.Instant) {
-	if r.giver.tenure.Term().Fence == 0 {
+// giveOrders carries out what is due at the runners of this VM's shards and, as the planner, decides on placement.
+func (r *routing) giveOrders(now clock.Instant) {
+	if r.manifest == nil || r.stopping {
 		return
 	}
-	r.endTerm("planned stop", now)
-	r.giver.claims.TryPush(claim{giveUp: true})
+	r.members.planner = r.choosePlanner(now)
+	r.carryOut(r.giver.placer.Plan(r.members.planner == r.node, now), now)
 }
 
-// considerTerm claims the holder's key when it is free, and ends a term whose lease has run out.
-func (r *routing) considerTerm(now clock.Instant) {
+func (r *routing) carryOut(plan machine.Plan, now clock.Instant) {
 	g := &r.giver
-	if g.tenure.Term().Fence != 0 && !g.tenure.Holds(now) {
-		r.endTerm("lease ran out", now)
-	}
-	if g.listed && !g.holder.gone && g.tenure.Term().Fence == 0 && r.members.giver == r.node && now.Before(g.until) {
-		r.takeHolder(g.holder, now) // the lease was renewed after it had seemed to run out
-	}
-	if !g.listed || !g.holder.gone || r.stopping || !r.hasModels() || !now.Before(g.until) {
-		return
-	}
-	if g.vacant == 0 {
-		g.vacant = now
-		g.claimAt = now.Add(time.Duration(r.rank()) * claimStagger)
+	for _, o := range plan.Orders {
+		s := &g.shards[machine.ShardOf(o.Runner)]
+		s.tenure.Sign(&o)
+		if !g.orders.TryPush(orderJob{order: o, live: s.live, runner: o.Runner, boot: o.Boot, address: o.Address}) {
+			g.placer.Answered(o, machine.OrderNotSent, now)
+		}
 	}
-	if now.Before(g.claimAt) {
-		return
+	for _, q := range plan.Questions {
+		if !g.orders.TryPush(orderJob{question: true, runner: q.ID, boot: q.Boot, address: q.Address}) {
+			g.placer.Reported(q.ID, q.Boot, machine.Contents{}, false, now)
+		}
 	}
-	g.claimAt = now.Add(claimPause)
-	g.claims.TryPush(claim{tenureRevision: g.tenureKey.revision})
-}
-
-// rank returns the number of peers that should claim before this VM: those that started later.
-func (r *routing) rank() int {
-	n := 0
-	for _, p := range r.members.peers {
-		if p.Boot > r.boot {
-			n++
+	for _, w := range plan.Wishes {
+		owner := g.shards[machine.ShardOf(w.Runner)].owner
+		if p := r.members.peers[owner]; p != nil {
+			p.wishes = append(p.wishes, w)
+			p.urgent = true
 		}
+		r.log.Info("wish", "runner", w.Runner, "model", w.Model, "adapter", w.Adapter, "order_giver", owner)
 	}
-	return n
 }
 
-// giveOrders carries out the placer's plan.
-func (r *routing) giveOrders(now clock.Instant) {
-	if !r.giver.tenure.MayOrder(now) {
-		return
-	}
-	plan := r.giver.placer.Plan(now)
-	for _, o := range plan.Orders {
-		r.giver.tenure.Sign(&o)
-		job := orderJob{order: o, runner: o.Runner, boot: o.Boot, address: o.Address}
-		if !r.giver.orders.TryPush(job) {
-			r.giver.placer.Answered(o, machine.OrderNotSent, now)
+// choosePlanner returns the node that decides on placement: of those that are heard and not stopping, the one that has
+// run longest. Two planners at a time do no harm, since the order givers check each wish.
+func (r *routing) choosePlanner(now clock.Instant) string {
+	best, boot := r.node, r.boot
+	for name, p := range r.members.peers {
+		if p.stopping || p.sequence == 0 || now.Sub(p.heard) > silentAfter {
+			continue
 		}
-	}
-	for _, q := range plan.Questions {
-		if !r.giver.orders.TryPush(orderJob{question: q, runner: q.ID, boot: q.Boot, address: q.Address}) {
-			r.giver.placer.Reported(q.ID, q.Boot, machine.Contents{}, false, now)
+		if p.Boot < boot || p.Boot == boot && name < best {
+			best, boot = name, p.Boot
 		}
 	}
+	if best != r.members.planner {
+		r.log.Info("planner", "node", best, "before", r.members.planner)
+	}
+	return best
 }
 
 // apply books the outcome of an order.
 func (m orderAnswered) apply(r *routing, now clock.Instant) {
 	r.giver.placer.Answered(m.order, m.outcome, now)
-	cause := ""
-	if m.cause != nil {
-		cause = m.cause.Error()
-	}
 	r.log.Info("order", "runner", m.order.Runner, "kind", m.order.Kind.String(), "model", m.order.Model,
 		"adapter", m.order.Adapter, "expected", m.order.Expected, "fence", m.order.Term.Fence,
-		"outcome", m.outcome.String(), "took_ms", m.took.Milliseconds(), "cause", cause)
+		"outcome", m.outcome.String(), "took_ms", m.took.Milliseconds(), "cause", text(m.cause))
 	r.metrics.orders.WithLabelValues(m.order.Kind.String(), m.outcome.String()).Inc()
 }
 
 // apply books a runner's report.
 func (m runnerReported) apply(r *routing, now clock.Instant) {
 	r.giver.placer.Reported(m.runner, m.boot, m.contents, m.err == nil, now)
-	cause := ""
-	if m.err != nil {
-		cause = m.err.Error()
-	}
 	r.log.Info("runner asked", "runner", m.runner, "sequence", m.contents.Sequence, "busy", m.contents.Busy,
-		"models", len(m.contents.Models), "cause", cause)
+		"models", len(m.contents.Models), "cause", text(m.err))
 }
 
-// news reports whether the peer lacks changes of the account.
-func (g *giver) news(p *peer, now clock.Instant) bool {
-	return g.tenure.Holds(now) && (p.fence != g.tenure.Term().Fence || p.version < g.placer.Version())
-}
-
-// addViews adds the changes of the account that the peer lacks.
-func (g *giver) addViews(report *link.Report, p *peer, now clock.Instant) {
-	if !g.tenure.Holds(now) {
-		return
-	}
-	after := p.version
-	if p.fence != g.tenure.Term().Fence {
-		after = 0
+// text returns an error's text, or nothing.
+func text(err error) string {
+	if err == nil {
+		return ""
 	}
-	report.Fence, report.Version = g.tenure.Term().Fence, g.placer.Version()
-	report.Views = g.placer.Views(after, now)
+	return err.Error()
 }
 
-// apply extends the lease under which this VM's keys live.
-func (m leaseRenewed) apply(r *routing, _ clock.Instant) {
-	r.giver.until = m.until
-	r.giver.tenure.Renew(m.until)
+// addAccounts adds the accounts that a peer lacks, the wishes for it and the terms that ended here.
+func (r *routing) addAccounts(report *link.Report, p *peer, now clock.Instant) {
+	g := &r.giver
+	report.Version = g.placer.Version()
+	report.Views = g.placer.Views(p.version, g.fence, now)
+	report.Wishes, p.wishes = p.wishes, nil
+	for k := range g.shards {
+		s := &g.shards[k]
+		if s.endedFence != 0 && now.Sub(s.endedAt) < endedMemory {
+			report.Ended = append(report.Ended, link.Ended{Shard: machine.Shard(k), Fence: s.endedFence, Since: now.Sub(s.endedAt)})
+		}
+	}
 }
 
-// apply ends the term with the lease.
-func (leaseLost) apply(r *routing, now clock.Instant) {
-	r.giver.until = 0
-	r.endTerm("lease lost", now)
+// takeAccounts takes over what a peer says of the runners whose orders it gives.
+func (r *routing) takeAccounts(in link.Report, now clock.Instant) {
+	for _, v := range in.Views {
+		r.giver.placer.Apply(v, now)
+	}
+	for _, w := range in.Wishes {
+		r.carryOut(r.giver.placer.Grant(w, now), now)
+	}
+	for _, e := range in.Ended {
+		if e.Shard >= 0 && e.Shard < machine.Shards {
+			s := &r.giver.shards[e.Shard]
+			s.releasedFence, s.releasedAt = e.Fence, now.Add(-e.Since)
+		}
+	}
 }
--- a/node/entry/lease.go
+++ b/node/entry/lease.go
@@ -19,7 +19,8 @@
 	renewPeriod = 700 * time.Millisecond
 )
 
-// lease is the duty that keeps this VM's keys in the store: its entry and, if it gives the orders, the holder's key.
+// lease is the duty that keeps this VM's keys in the store: its entry and the holder's key
+// of each shard to which it gives the orders.
 type lease struct {
 	store   *platform.Store
 	routing *ring.Ring[message]
@@ -101,11 +102,7 @@
 }
 
 func (l *lease) failed(what string, outcome platform.Outcome, err error) {
-	cause := ""
-	if err != nil {
-		cause = err.Error()
-	}
-	l.log.Warn("lease call failed", "call", what, "outcome", outcome.String(), "error", cause)
+	l.log.Warn("lease call failed", "call", what, "outcome", outcome.String(), "error", text(err))
 }
 
 // carryOut takes or gives up the holder's key. A claim without an answer shows in the watch if it took effect.
@@ -113,8 +110,11 @@
 	if l.id == 0 {
 		return
 	}
+	key := keyHolder(c.shard)
 	if c.giveUp {
-		_, outcome, err := l.store.Commit(ctx, platform.Txn{Removes: []string{keyHolder}})
+		_, outcome, err := l.store.Commit(ctx, platform.Txn{
+			Conditions: []platform.Condition{{Key: key, Revision: c.holderRevision}}, Removes: []string{key},
+		})
 		if outcome != platform.Applied {
 			l.failed("give up term", outcome, err)
 		}
@@ -122,26 +122,20 @@
 	}
 	value := marshal(holderEntry{Node: l.node, Boot: l.entry.Boot})
 	revision, outcome, err := l.store.Commit(ctx, platform.Txn{
-		Conditions: []platform.Condition{{Key: keyHolder}, {Key: keyTenure, Revision: c.tenureRevision}},
-		Writes:     []platform.Write{{Key: keyHolder, Value: value, Lease: l.id}, {Key: keyTenure, Value: value}},
+		Conditions: []platform.Condition{{Key: key}, {Key: keyLast(c.shard), Revision: c.lastRevision}},
+		Writes:     []platform.Write{{Key: key, Value: value, Lease: l.id}, {Key: keyLast(c.shard), Value: value}},
 	})
-	l.log.Info("claim", "outcome", outcome.String(), "fence", revision)
+	l.log.Info("claim", "shard", c.shard, "outcome", outcome.String(), "fence", revision)
 	switch outcome {
 	case platform.Applied:
-		taken := ownChange{key: keyHolder, value: value, revision: revision, created: revision}
-		_ = l.routing.Push(ctx, storeChangedOwn{taken})
+		taken := ownChange{key: key, value: value, revision: revision, created: revision}
+		_ = l.routing.Push(ctx, claimed{shard: c.shard, change: taken})
 	case platform.Conflict:
 	default:
 		l.failed("claim", outcome, err)
 	}
 }
 
-// storeChangedOwn is a change of mangopass's own key that this VM made itself.
-type storeChangedOwn struct{ change ownChange }
-
-// apply takes the change over ahead of the watch.
-func (m storeChangedOwn) apply(r *routing, now clock.Instant) { r.takeHolder(m.change, now) }
-
 func marshal(v any) []byte {
 	data, err := json.Marshal(v)
 	if err != nil {
--- a/node/entry/members.go
+++ b/node/entry/members.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strings"
 	"time"
 
 	"github.com/mangopass/mangopass/duty/clock"
@@ -14,10 +15,10 @@
 
 // Keys of mangopass's own in the platform's store.
 const (
-	prefixOwn   = "mangopass/"
-	prefixNodes = prefixOwn + "nodes/" // one leased key for each entry VM
-	keyHolder   = prefixOwn + "holder" // leased: the order giver
-	keyTenure   = prefixOwn + "tenure" // not leased: who held the last term
+	prefixOwn     = "mangopass/"
+	prefixNodes   = prefixOwn + "nodes/"   // one leased key for each entry VM
+	prefixHolders = prefixOwn + "holders/" // leased: the order giver of each shard
+	prefixLast    = prefixOwn + "last/"    // not leased: who held the last term over each shard
 )
 
 // Figures of the exchange between entry VMs.
@@ -44,20 +45,21 @@
 	stop     context.CancelFunc
 	listed   bool // its entry is in the store
 	heard    clock.Instant
-	sequence uint64
+	sequence uint64 // of its last report; zero: none has come
+	stopping bool
 	sentAt   clock.Instant
-	busy     bool // a report is on its way
-	fence    int64
-	version  uint64 // of the order giver's account that it has
+	busy     bool                                // a report is on its way
+	urgent   bool                                // a report is due before its period
+	version  uint64                              // of this VM's accounts that it has
+	asked    map[machine.Artifact]*machine.Asked // demand that it has not been told
+	wishes   []machine.Wish
 }
 
 // members is what this VM knows of the other entry VMs.
 type members struct {
 	peers    map[string]*peer
 	sequence uint64
-	urgent   bool   // a report is due before its period
-	giver    string // the node that holds the term; empty: unknown
-	fence    int64  // of the newest term seen
+	planner  string // the node that decides on placement
 	connect  func(name string, p *peer)
 }
 
@@ -81,17 +83,28 @@
 		for _, p := range r.members.peers {
 			p.listed = false
 		}
-		r.giver.holder = ownChange{gone: true}
-		r.giver.listed = true
 	}
+	named := [machine.Shards]bool{}
 	for _, c := range changes {
-		switch {
-		case c.key == keyHolder:
-			r.takeHolder(c, now)
-		case c.key == keyTenure:
-			r.giver.tenureKey = c
-		case len(c.key) > len(prefixNodes) && c.key[:len(prefixNodes)] == prefixNodes:
-			r.takeNode(c.key[len(prefixNodes):], c, now)
+		if k, ok := shardOfKey(c.key, prefixLast); ok {
+			r.giver.shards[k].last = c
+		}
+	}
+	for _, c := range changes {
+		if k, ok := shardOfKey(c.key, prefixHolders); ok {
+			named[k] = true
+			r.takeHolder(k, c, now)
+		} else if name, ok := strings.CutPrefix(c.key, prefixNodes); ok {
+			r.takeNode(name, c, now)
+		}
+	}
+	if !complete {
+		return
+	}
+	r.giver.listed = true
+	for k := range named {
+		if s := &r.giver.shards[k]; !named[k] && !s.holder.gone {
+			r.takeHolder(machine.Shard(k), ownChange{gone: true, revision: s.holder.revision}, now)
 		}
 	}
 }
@@ -117,7 +130,8 @@
 		return
 	}
 	r.dropPeer(name, now)
-	p = &peer{nodeEntry: e, outbox: ring.New[link.Report]("report", 1), listed: true, heard: now}
+	p = &peer{nodeEntry: e, outbox: ring.New[link.Report]("report", 1), listed: true, heard: now,
+		asked: make(map[machine.Artifact]*machine.Asked)}
 	r.members.peers[name] = p
 	r.members.connect(name, p)
 	r.log.Info("peer joined", "peer", name, "address", e.Address, "peers", len(r.members.peers))
@@ -131,7 +145,7 @@
 	p.stop()
 	delete(r.members.peers, name)
 	r.table.SetPeer(name, nil)
-	r.giver.placer.Forget(name, now)
+	r.giver.placer.ForgetNode(name, now)
 	r.log.Info("peer gone", "peer", name, "silent_ms", now.Sub(p.heard).Milliseconds(), "peers", len(r.members.peers))
 }
 
@@ -141,9 +155,7 @@
 	for _, q := range r.quotas {
 		q.SetShare(share, now)
 	}
-	if r.giver.tenure.Holds(now) {
-		r.giver.placer.Observe(r.node, r.takeAsked(), now)
-	}
+	r.giver.placer.Observe(r.node, takeAsked(r.asked), now)
 	var loads []link.Load
 	for name, p := range r.members.peers {
 		if !p.listed && now.Sub(p.heard) > forgetAfter {
@@ -151,7 +163,7 @@
 			continue
 		}
 		period := reportPeriod
-		if r.members.urgent && name == r.members.giver || r.giver.news(p, now) {
+		if p.urgent || p.version < r.giver.placer.Version() {
 			period = urgentPeriod
 		}
 		if p.busy || now.Sub(p.sentAt) < period {
@@ -160,11 +172,11 @@
 		if loads == nil {
 			loads = r.table.Own()
 		}
-		r.reportTo(name, p, loads, now)
+		r.reportTo(p, loads, now)
 	}
 }
 
-func (r *routing) reportTo(name string, p *peer, loads []link.Load, now clock.Instant) {
+func (r *routing) reportTo(p *peer, loads []link.Load, now clock.Instant) {
 	r.members.sequence++
 	report := link.Report{
 		Node: r.node, Boot: r.boot, Sequence: r.members.sequence, Stopping: r.stopping, Loads: loads, Struck: r.struck,
@@ -172,23 +184,20 @@
 	for organisation, q := range r.quotas {
 		report.Spent = append(report.Spent, link.Spent{Organisation: organisation, Total: q.Own()})
 	}
-	if name == r.members.giver {
-		report.Asked = r.takeAsked()
-		r.members.urgent = false
-	}
-	r.giver.addViews(&report, p, now)
+	report.Asked = takeAsked(p.asked)
+	r.addAccounts(&report, p, now)
 	if p.outbox.TryPush(report) {
-		p.busy, p.sentAt = true, now
+		p.busy, p.urgent, p.sentAt = true, false, now
 	}
 }
 
 // takeAsked returns the demand since the last call and starts anew.
-func (r *routing) takeAsked() []machine.Asked {
-	out := make([]machine.Asked, 0, len(r.asked))
-	for artifact, a := range r.asked {
+func takeAsked(asked map[machine.Artifact]*machine.Asked) []machine.Asked {
+	out := make([]machine.Asked, 0, len(asked))
+	for artifact, a := range asked {
 		out = append(out, *a)
 		if a.Waiting == 0 {
-			delete(r.asked, artifact)
+			delete(asked, artifact)
 			continue
 		}
 		a.Arrivals, a.Urgent, a.Work = 0, 0, 0
@@ -196,6 +205,22 @@
 	return out
 }
 
+// eachAsked applies a change of demand to this VM's own account and to what the peers have still to be told.
+func (r *routing) eachAsked(a machine.Artifact, change func(*machine.Asked)) {
+	apply := func(asked map[machine.Artifact]*machine.Asked) {
+		of := asked[a]
+		if of == nil {
+			of = &machine.Asked{Artifact: a}
+			asked[a] = of
+		}
+		change(of)
+	}
+	apply(r.asked)
+	for _, p := range r.members.peers {
+		apply(p.asked)
+	}
+}
+
 // apply notes whether a peer has got a report.
 func (m delivered) apply(r *routing, _ clock.Instant) {
 	p := r.members.peers[m.node]
@@ -204,7 +229,7 @@
 	}
 	p.busy = false
 	if m.ok {
-		p.fence, p.version = m.fence, m.version
+		p.version = m.version
 	}
 }
 
@@ -215,7 +240,7 @@
 	if p == nil || p.Boot != in.Boot || in.Sequence <= p.sequence {
 		return
 	}
-	p.sequence, p.heard = in.Sequence, now
+	p.sequence, p.heard, p.stopping = in.Sequence, now, in.Stopping
 	if in.Loads == nil {
 		in.Loads = []link.Load{}
 	}
@@ -228,14 +253,6 @@
 	for _, digest := range in.Struck {
 		r.strikes.Add(digest, now)
 	}
-	if r.giver.tenure.Holds(now) {
-		r.giver.placer.Observe(in.Node, in.Asked, now)
-		return
-	}
-	if in.Fence != 0 && in.Fence >= r.members.fence {
-		r.members.giver, r.members.fence = in.Node, in.Fence
-		for _, v := range in.Views {
-			r.fleet.ApplyView(v, now)
-		}
-	}
+	r.giver.placer.Observe(in.Node, in.Asked, now)
+	r.takeAccounts(in, now)
 }
--- a/node/entry/message.go
+++ b/node/entry/message.go
@@ -140,7 +140,6 @@
 type delivered struct {
 	node    string
 	boot    int64 // of the peer, to which the report went
-	fence   int64
 	version uint64
 	ok      bool
 }
--- a/node/entry/orders.go
+++ b/node/entry/orders.go
@@ -33,12 +33,12 @@
 
 // carry gives one order unless its term may have ended meanwhile, or asks one question.
 func (o *orders) carry(ctx context.Context, job orderJob) message {
-	if job.question != nil {
+	if job.question {
 		contents, err := o.runners.Report(ctx, job.runner, job.address)
 		return runnerReported{runner: job.runner, boot: job.boot, contents: contents, err: err}
 	}
 	sent := clock.Now()
-	if !sent.Before(job.order.Expires) {
+	if !sent.Before(job.order.Expires) || !job.live.Load() {
 		return orderAnswered{order: job.order, outcome: machine.OrderNotSent}
 	}
 	outcome, err := o.runners.Order(ctx, job.order)
--- a/node/entry/routing.go
+++ b/node/entry/routing.go
@@ -66,9 +66,10 @@
 		quotas: make(map[contract.OrganisationName]*contract.Quota), budgets: make(map[contract.ServiceName]*link.Budget),
 		strikes: link.NewStrikes(), asked: make(map[machine.Artifact]*machine.Asked),
 	}
-	r.giver.placer = machine.NewPlacer(r.fleet, r.table, machine.Ceiling{
-		Window: s.Rules.LoadsWindow(), Over: s.Rules.LoadsOver, Extra: s.Rules.LoadsExtra,
-	})
+	r.giver.placer = machine.NewPlacer(r.fleet, r.table, &r.giver)
+	for k := range r.giver.shards {
+		r.giver.shards[k].holder.gone = true
+	}
 	r.members.peers = make(map[string]*peer)
 	return r
 }
@@ -99,7 +100,7 @@
 		r.log.Info("runner gone", "runner", id, "reason", "entry did not come back after the store's outage")
 	}
 	r.retryWaiting(now)
-	r.considerTerm(now)
+	r.considerTerms(now)
 	r.giveOrders(now)
 	r.report(now)
 	r.ready.Store(r.isReady(now))
@@ -111,7 +112,7 @@
 		(r.freshness.Fresh(now) || !r.manifest.HasOrganisations())
 }
 
-// apply starts the planned stop: the order giver's term passes on at once, so that its pause runs while this VM drains.
+// apply starts the planned stop. The terms pass on at once, so that their pause runs while this VM drains.
 func (stopping) apply(r *routing, now clock.Instant) {
 	r.stopping, r.stopWait = true, now.Add(drainTime)
 	r.log.Info("stopping", "waiting", len(r.waiting))
--- a/node/entry/settle.go
+++ b/node/entry/settle.go
@@ -50,12 +50,8 @@
 }
 
 func (r *routing) logEnd(m ended) {
-	cause := ""
-	if m.cause != nil {
-		cause = m.cause.Error()
-	}
 	r.log.Info("ended", "request", m.call.request.ID, "runner", m.attempt.runner, "result", m.result.String(),
-		"took_ms", m.took.Milliseconds(), "begun", m.begun, "final", m.final, "cause", cause)
+		"took_ms", m.took.Milliseconds(), "begun", m.begun, "final", m.final, "cause", text(m.cause))
 }
 
 // notExecuted reports whether the runner has certainly not run the request.
--- /dev/null
+++ b/node/entry/terms.go
@@ -0,0 +1,154 @@
+package entry
+
+import (
+	"encoding/json"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/mangopass/mangopass/duty/clock"
+	"github.com/mangopass/mangopass/fleet/machine"
+)
+
+// Figures of the election of order givers.
+const (
+	// settleMembers is the time after the first listing of the store in which the other entry VMs register.
+	settleMembers = 400 * time.Millisecond
+	// claimStagger separates the claims of several VMs to one shard.
+	claimStagger = 150 * time.Millisecond
+	// claimExtra delays the claims of a VM that holds its part of the shards already.
+	claimExtra = 600 * time.Millisecond
+	// claimPause is the time between two claims of one VM to one shard.
+	claimPause = 700 * time.Millisecond
+)
+
+// holderEntry is the value of a shard's keys.
+type holderEntry struct {
+	Node string `json:"node"`
+	Boot int64  `json:"boot"`
+}
+
+// claim asks the lease duty to take or to give up the holder's key of a shard.
+type claim struct {
+	shard          machine.Shard
+	giveUp         bool
+	holderRevision int64
+	lastRevision   int64
+}
+
+func keyHolder(k machine.Shard) string { return prefixHolders + strconv.Itoa(int(k)) }
+
+func keyLast(k machine.Shard) string { return prefixLast + strconv.Itoa(int(k)) }
+
+// shardOfKey returns the shard that a key with a prefix names.
+func shardOfKey(key, prefix string) (machine.Shard, bool) {
+	rest, ok := strings.CutPrefix(key, prefix)
+	n, err := strconv.Atoi(rest)
+	return machine.Shard(n), ok && err == nil && n >= 0 && n < machine.Shards
+}
+
+// takeHolder applies a change of a shard's holder key.
+func (r *routing) takeHolder(k machine.Shard, c ownChange, now clock.Instant) {
+	s := &r.giver.shards[k]
+	if c.revision < s.holder.revision {
+		return
+	}
+	s.holder = c
+	if c.gone {
+		s.owner = ""
+		r.giver.placer.Lose(k)
+		r.endTerm(k, "holder key removed", now)
+		return
+	}
+	s.vacant = 0
+	var e holderEntry
+	if err := json.Unmarshal(c.value, &e); err != nil {
+		r.log.Error("holder entry rejected", "shard", k, "error", err.Error())
+		return
+	}
+	s.owner = e.Node
+	if e.Node == r.node && e.Boot == r.boot {
+		r.beginTerm(k, c.created, now)
+		return
+	}
+	r.endTerm(k, "another VM took the term", now)
+}
+
+// considerTerms ends terms whose lease has run out and claims shards that have no holder.
+func (r *routing) considerTerms(now clock.Instant) {
+	g := &r.giver
+	for k := range g.shards {
+		s := &g.shards[k]
+		switch {
+		case s.tenure.Term().Fence != 0 && !s.tenure.Holds(now):
+			r.endTerm(machine.Shard(k), "lease ran out", now)
+		case s.tenure.Term().Fence == 0 && s.owner == r.node && !s.holder.gone:
+			r.takeHolder(machine.Shard(k), s.holder, now) // the lease was renewed after it had seemed to run out
+		}
+	}
+	if !g.listed || r.stopping || !r.hasModels() || !now.Before(g.until) {
+		return
+	}
+	for k := range g.shards {
+		if s := &g.shards[k]; s.holder.gone {
+			r.considerClaim(machine.Shard(k), s, now)
+		}
+	}
+}
+
+func (r *routing) considerClaim(k machine.Shard, s *shard, now clock.Instant) {
+	if s.vacant == 0 {
+		s.vacant = now
+		s.claimAt = now.Add(time.Duration(r.rank(k)) * claimStagger)
+		if s.last.value == nil {
+			s.claimAt = s.claimAt.Add(settleMembers)
+		}
+		if part := (machine.Shards + r.members.count() - 1) / r.members.count(); r.giver.held(now) >= part {
+			s.claimAt = s.claimAt.Add(claimExtra)
+		}
+	}
+	if now.Before(s.claimAt) {
+		return
+	}
+	s.claimAt, s.before = now.Add(claimPause), s.last
+	r.giver.claims.TryPush(claim{shard: k, lastRevision: s.last.revision})
+}
+
+// rank returns the number of peers that should claim a shard before this VM, by rendezvous hashing.
+func (r *routing) rank(k machine.Shard) int {
+	weight := func(node string) uint64 { return xxhash.Sum64String(strconv.Itoa(int(k)) + "/" + node) }
+	own, n := weight(r.node), 0
+	for name, p := range r.members.peers {
+		if !p.stopping && weight(name) > own {
+			n++
+		}
+	}
+	return n
+}
+
+// apply extends the lease under which this VM's keys live.
+func (m leaseRenewed) apply(r *routing, _ clock.Instant) {
+	r.giver.until = m.until
+	for k := range r.giver.shards {
+		r.giver.shards[k].tenure.Renew(m.until)
+	}
+}
+
+// apply ends all terms with the lease.
+func (leaseLost) apply(r *routing, now clock.Instant) {
+	r.giver.until = 0
+	for k := range r.giver.shards {
+		r.endTerm(machine.Shard(k), "lease lost", now)
+	}
+}
+
+// claimed is a holder's key that this VM has just taken.
+type claimed struct {
+	shard  machine.Shard
+	change ownChange
+}
+
+// apply takes the change over ahead of the watch.
+func (m claimed) apply(r *routing, now clock.Instant) { r.takeHolder(m.shard, m.change, now) }
--- a/node/entry/watch.go
+++ b/node/entry/watch.go
@@ -92,11 +92,7 @@
 	}
 	if w.available {
 		w.available = false
-		cause := ""
-		if err != nil {
-			cause = err.Error()
-		}
-		w.log.Warn("store unavailable", "outcome", outcome.String(), "error", cause)
+		w.log.Warn("store unavailable", "outcome", outcome.String(), "error", text(err))
 	}
 	if w.answered != 0 && clock.Now().Sub(w.answered) > outageAfter {
 		w.revision = 0 // changes may have been missed; list again
