Let models wait for a runner that has a copy, and count loads at all runners

Ruled out: processor time (0.05 of 0.304 cores). Change: views carry the adapters' times and are taken over from the first report of a term on; the placement compares busy runners by the time until they are free and queues models for their turn, longest waiting first; a load from the weight store counts as done when the runner says so; one survey of demand and replicas serves a whole plan.

--- a/fleet/machine/ledger.go
+++ b/fleet/machine/ledger.go
@@ -13,10 +13,16 @@
 	loadMargin = 25 * time.Millisecond
 	// adapterLoad is the usual time of an adapter's load.
 	adapterLoad = 20 * time.Millisecond
+	// swapTime is the usual time of a load from a copy at hand with the unloads before it.
+	swapTime = 900 * time.Millisecond
 	// conflictPause is the wait before an order is repeated that met another one in progress.
 	conflictPause = 40 * time.Millisecond
 	// reportLag is the age that a runner's report of itself can have.
 	reportLag = 200 * time.Millisecond
+	// refusedPause is how long no request is sent for a model or adapter that a runner has just said not to hold.
+	refusedPause = 120 * time.Millisecond
+	// coldBound times the stated time of a load from the weight store is the longest that is expected.
+	coldBound = 3
 	// conflictLimit is the number of conflicts in a row after which the runner is asked for its state.
 	conflictLimit = 8
 )
@@ -30,7 +36,8 @@
 // book is the order giver's exact account of one runner.
 type book struct {
 	boot      int64
-	synced    bool          // the runner's own report has been read in this term
+	read      bool          // the runner's own report has been read in this term
+	synced    bool          // the account is exact: nothing happened since that a report has to settle
 	asked     bool          // a report has been asked for and not arrived
 	askAfter  clock.Instant // earliest time of the next question
 	pending   *Order        // sent and not answered
@@ -44,6 +51,18 @@
 	return b.synced && b.pending == nil && b.swap == nil && !b.holdUntil.After(now) && !b.busyUntil.After(now)
 }
 
+// freeIn returns the expected time until the runner can take an order.
+func (b *book) freeIn(now clock.Instant) time.Duration {
+	wait := max(0, b.holdUntil.Sub(now), b.busyUntil.Sub(now))
+	switch {
+	case b.swap != nil:
+		wait += swapTime
+	case !b.synced || b.pending != nil:
+		wait = max(wait, reportLag)
+	}
+	return wait
+}
+
 // unsync makes the next order wait for a report that was made after now.
 func (b *book) unsync(now clock.Instant) {
 	b.synced, b.asked = false, false
--- a/fleet/machine/placement.go
+++ b/fleet/machine/placement.go
@@ -30,6 +30,8 @@
 	surplusValue = 0.02
 	// unloadTime is the usual time of an unload without running requests.
 	unloadTime = 50 * time.Millisecond
+	// runTime is the usual time until a model in use can be unloaded.
+	runTime = 1500 * time.Millisecond
 	// coldLoadsAtOnce is the number of loads that the weight store serves at full speed.
 	coldLoadsAtOnce = 4
 	// comingAdapters is the number of adapters that may be on their way to one runner.
@@ -65,6 +67,8 @@
 	books     map[RunnerID]*book
 	remotes   map[RunnerID]*remote
 	demands   map[Artifact]*demand
+	standings map[Artifact]*standing // of the survey at the start of the last plan
+	reserved  map[RunnerID]int       // models that wait for their turn at a busy runner, in this plan
 	changed   map[RunnerID]uint64
 	version   uint64
 }
@@ -73,7 +77,8 @@
 func NewPlacer(fleet *Fleet, usage Usage, authority Authority) *Placer {
 	return &Placer{
 		fleet: fleet, usage: usage, authority: authority, books: make(map[RunnerID]*book),
-		remotes: make(map[RunnerID]*remote), demands: make(map[Artifact]*demand), changed: make(map[RunnerID]uint64),
+		remotes: make(map[RunnerID]*remote), demands: make(map[Artifact]*demand),
+		standings: make(map[Artifact]*standing), reserved: make(map[RunnerID]int), changed: make(map[RunnerID]uint64),
 	}
 }
 
@@ -144,6 +149,7 @@
 		}
 	}
 	if planner {
+		p.survey(now)
 		p.placeMissing(now, &plan)
 		p.placeReplicas(now, &plan)
 		p.placeAdapters(now, &plan)
@@ -166,6 +172,7 @@
 	if !known || r.Holds(w.Model) != nil {
 		return plan
 	}
+	p.survey(now)
 	if victims, _, ok := p.evict(r, p.engine(r), model.WeightsMB, now); ok {
 		p.begin(r, w.Model, victims, now, &plan)
 	}
@@ -197,15 +204,34 @@
 	return p.remote(r).idle(now)
 }
 
-// coming reports whether a runner is about to load a model or an adapter that it does not list yet.
-func (p *Placer) coming(r *Runner, m contract.ModelName, a contract.AdapterName, now clock.Instant) bool {
+// arriving returns the model that a runner is about to load and does not list yet, or nothing.
+func (p *Placer) arriving(r *Runner, now clock.Instant) contract.ModelName {
+	if p.authority.MayOrder(r.ID, now) {
+		if b := p.books[r.ID]; b != nil && b.boot == r.Boot && b.swap != nil {
+			return b.swap.model
+		}
+		return ""
+	}
+	m := p.remotes[r.ID]
+	switch {
+	case m == nil || m.boot != r.Boot:
+		return ""
+	case m.swap != "":
+		return m.swap
+	case m.wishUntil.After(now) && m.wish.Adapter == "":
+		return m.wish.Model
+	}
+	return ""
+}
+
+// adapterComing reports whether a runner is about to load an adapter that it does not list yet.
+func (p *Placer) adapterComing(r *Runner, m contract.ModelName, a contract.AdapterName, now clock.Instant) bool {
 	if p.authority.MayOrder(r.ID, now) {
 		b := p.books[r.ID]
-		return b != nil && b.boot == r.Boot && (a == "" && b.swap != nil && b.swap.model == m ||
-			b.pending != nil && b.pending.Kind == Load && b.pending.Model == m && b.pending.Adapter == a)
+		return b != nil && b.boot == r.Boot && b.pending != nil && b.pending.Kind == Load && b.pending.Model == m && b.pending.Adapter == a
 	}
 	remote := p.remotes[r.ID]
-	return remote != nil && remote.boot == r.Boot && remote.coming(m, a, now)
+	return remote != nil && remote.boot == r.Boot && remote.wishUntil.After(now) && remote.wish.Model == m && remote.wish.Adapter == a
 }
 
 func (p *Placer) engine(r *Runner) *contract.Engine {
@@ -274,112 +300,151 @@
 	return e.WeightsMB - usedMB(r, e) - need
 }
 
-// placeMissing loads models that requests wait for and that no runner holds.
-func (p *Placer) placeMissing(now clock.Instant, plan *Plan) {
-	var missing []Artifact
-	for a, d := range p.demands {
-		if len(d.waiting) > 0 && p.replicas(a, now) == 0 {
-			missing = append(missing, a.Base())
-		}
-	}
-	slices.SortFunc(missing, func(a, b Artifact) int { return cmp.Compare(a.Model, b.Model) })
-	missing = slices.Compact(missing)
-	slices.SortStableFunc(missing, func(a, b Artifact) int {
-		return cmp.Compare(p.waitingFor(b), p.waitingFor(a))
-	})
-	for _, a := range missing {
-		p.place(a, waitingGain*float64(p.waitingFor(a)), now, plan)
-	}
+// standing is what all entry VMs ask of one model with its adapters, and how many runners hold it.
+type standing struct {
+	waiting  int
+	since    clock.Instant // requests have waited since; zero: none waits
+	rate     float64       // requests per second
+	urgent   float64       // of those, requests that cannot wait for a load
+	work     float64       // prefill seconds per second
+	replicas int           // usable runners that hold the model or are about to
 }
 
-// waitingFor counts the requests that wait for a model or one of its adapters.
-func (p *Placer) waitingFor(base Artifact) int {
-	n := 0
-	for a, d := range p.demands {
-		if a.Base() == base {
-			n += d.total()
-		}
+// needed returns the replicas that the demand justifies.
+func (s *standing) needed() int {
+	n := int(math.Ceil(s.work / replicaUtilization))
+	if s.urgent >= urgentRateForSpare {
+		n = max(n, 2)
 	}
 	return n
 }
 
-// replicas counts the usable runners that hold a model or are about to load it.
-func (p *Placer) replicas(a Artifact, now clock.Instant) int {
-	n := 0
+// survey sums up the demand and the replicas of each model.
+func (p *Placer) survey(now clock.Instant) {
+	clear(p.standings)
+	for a, d := range p.demands {
+		s := p.standing(a.Base())
+		s.waiting += d.total()
+		if d.since != 0 && (s.since == 0 || d.since < s.since) {
+			s.since = d.since
+		}
+		s.rate += d.rate()
+		s.urgent += d.urgentRate()
+		s.work += d.utilization()
+	}
 	for _, r := range p.fleet.All() {
-		if r.Service != a.Service || !r.Usable(now) {
+		if p.engine(r) == nil || !r.Usable(now) {
 			continue
 		}
-		if r.Holds(a.Model) != nil || p.coming(r, a.Model, "", now) {
-			n++
+		for name := range r.Resident {
+			p.standing(Artifact{Service: r.Service, Model: name}).replicas++
+		}
+		if m := p.arriving(r, now); m != "" && r.Holds(m) == nil {
+			p.standing(Artifact{Service: r.Service, Model: m}).replicas++
 		}
 	}
-	return n
 }
 
-// needed returns the replicas that the demand for a model justifies.
-func (p *Placer) needed(base Artifact) int {
-	work, urgent := 0.0, 0.0
-	for a, d := range p.demands {
-		if a.Base() == base {
-			work += d.utilization()
-			urgent += d.urgentRate()
-		}
+func (p *Placer) standing(base Artifact) *standing {
+	s := p.standings[base]
+	if s == nil {
+		s = &standing{}
+		p.standings[base] = s
 	}
-	n := int(math.Ceil(work / replicaUtilization))
-	if urgent >= urgentRateForSpare {
-		n = max(n, 2)
+	return s
+}
+
+// placeMissing loads models that requests wait for and that no runner holds, those that have waited longest first.
+func (p *Placer) placeMissing(now clock.Instant, plan *Plan) {
+	clear(p.reserved)
+	for _, a := range p.chosen(func(s *standing) bool { return s.waiting > 0 && s.replicas == 0 }) {
+		p.place(a, waitingGain*float64(p.standing(a).waiting), now, plan)
 	}
-	return n
 }
 
 // placeReplicas adds one replica to each model that has fewer than it needs.
 func (p *Placer) placeReplicas(now clock.Instant, plan *Plan) {
-	seen := make(map[Artifact]bool)
-	var short []Artifact
-	for a := range p.demands {
-		base := a.Base()
-		if seen[base] {
-			continue
-		}
-		seen[base] = true
-		if have := p.replicas(base, now); have > 0 && have < p.needed(base) {
-			short = append(short, base)
-		}
-	}
-	slices.SortFunc(short, func(a, b Artifact) int { return cmp.Compare(a.Model, b.Model) })
-	for _, a := range short {
+	for _, a := range p.chosen(func(s *standing) bool { return s.replicas > 0 && s.replicas < s.needed() }) {
 		p.place(a, replicaGain, now, plan)
 	}
 }
 
-// place starts a swap that brings a model onto the runner where it costs least, if the gain is above the cost.
+// chosen returns the models whose standing passes, in the order of the waiting time.
+func (p *Placer) chosen(pass func(*standing) bool) []Artifact {
+	var out []Artifact
+	for a, s := range p.standings {
+		if pass(s) {
+			out = append(out, a)
+		}
+	}
+	slices.SortFunc(out, func(a, b Artifact) int {
+		return cmp.Or(cmp.Compare(p.standing(a).since, p.standing(b).since), cmp.Compare(a.Model, b.Model))
+	})
+	return out
+}
+
+// place starts a swap that brings a model onto the runner where it is expected first, if the gain is above what is lost.
+// While that runner is busy the model waits for its turn there.
 func (p *Placer) place(a Artifact, gain float64, now clock.Instant, plan *Plan) {
-	var best *Runner
-	var victims []contract.ModelName
-	lowest := math.Inf(1)
+	var best site
 	for _, r := range p.fleet.All() {
-		e := p.engine(r)
-		if r.Service != a.Service || e == nil || !r.Usable(now) || r.LeavesAt != 0 || r.Holds(a.Model) != nil {
-			continue
-		}
-		model, known := e.Models[a.Model]
-		if !known || !p.idle(r, now) || model.LoadCold == p.loadTime(r, model) && !p.mayLoadCold(now) {
-			continue
-		}
-		out, lost, ok := p.evict(r, e, model.WeightsMB, now)
-		if !ok || lost >= gain {
-			continue
-		}
-		cost := lost + p.loadTime(r, model).Seconds() + float64(len(out))*unloadTime.Seconds() + p.usage.Queued(r.ID).Seconds()
-		if cost < lowest {
-			best, victims, lowest = r, out, cost
+		if s, ok := p.consider(r, a, gain, now); ok && (best.runner == nil || s.cost < best.cost) {
+			best = s
 		}
 	}
-	if best == nil {
-		return
+	switch {
+	case best.runner == nil:
+	case best.now:
+		p.begin(best.runner, a.Model, best.victims, now, plan)
+		p.standing(a).replicas++
+	default:
+		p.reserved[best.runner.ID]++
 	}
-	p.begin(best, a.Model, victims, now, plan)
+}
+
+// site is a runner that could load a model.
+type site struct {
+	runner  *Runner
+	victims []contract.ModelName
+	cost    float64 // seconds until the model is ready, and what is lost
+	now     bool    // the load can begin now
+}
+
+// consider judges a runner as the place for a model.
+func (p *Placer) consider(r *Runner, a Artifact, gain float64, now clock.Instant) (site, bool) {
+	e := p.engine(r)
+	if r.Service != a.Service || e == nil || !r.Usable(now) || r.LeavesAt != 0 || r.Holds(a.Model) != nil {
+		return site{}, false
+	}
+	model, known := e.Models[a.Model]
+	if !known {
+		return site{}, false
+	}
+	load := p.loadTime(r, model)
+	if load == model.LoadCold && !p.mayLoadCold(now) {
+		return site{}, false
+	}
+	ahead := p.reserved[r.ID]
+	s := site{runner: r, now: ahead == 0 && p.idle(r, now)}
+	victims, lost, ok := p.evict(r, e, model.WeightsMB, now)
+	switch {
+	case !ok:
+		s.now = false
+		lost = runTime.Seconds()
+	case lost >= gain:
+		return site{}, false
+	}
+	s.victims = victims
+	s.cost = lost + load.Seconds() + float64(len(victims))*unloadTime.Seconds() + p.usage.Queued(r.ID).Seconds() +
+		p.freeIn(r, now).Seconds() + float64(ahead)*swapTime.Seconds()
+	return s, true
+}
+
+func (p *Placer) freeIn(r *Runner, now clock.Instant) time.Duration {
+	if p.authority.MayOrder(r.ID, now) {
+		return p.book(r).freeIn(now)
+	}
+	return p.remote(r).freeIn(now)
 }
 
 // loadTime returns how long a runner takes to load a model from its nearest copy.
@@ -431,7 +496,7 @@
 		}
 		m := e.Models[name]
 		mb := m.WeightsMB + float64(len(residence.Adapters))*m.AdapterMB
-		candidates = append(candidates, candidate{name, mb, p.value(r, m, now)})
+		candidates = append(candidates, candidate{name, mb, p.value(r, m)})
 	}
 	slices.SortFunc(candidates, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(a.value, b.value), cmp.Compare(a.name, b.name))
@@ -468,7 +533,8 @@
 	if residence.ReadyAt.Add(settleTime).After(now) || p.inUse(r, residence) > 0 {
 		return false
 	}
-	return p.waitingFor(a) == 0 || p.replicas(a, now) > 1
+	s := p.standing(a)
+	return s.waiting == 0 || s.replicas > 1
 }
 
 func (p *Placer) inUse(r *Runner, residence *Residence) int {
@@ -480,20 +546,12 @@
 }
 
 // value returns what the loss of a replica is expected to cost, in the unit of one request that waits a second.
-func (p *Placer) value(r *Runner, m contract.Model, now clock.Instant) float64 {
-	base := Artifact{Service: r.Service, Model: m.Name}
-	have := p.replicas(base, now)
-	if have > max(1, p.needed(base)) {
+func (p *Placer) value(r *Runner, m contract.Model) float64 {
+	s := p.standing(Artifact{Service: r.Service, Model: m.Name})
+	if s.replicas > max(1, s.needed()) {
 		return surplusValue
 	}
-	rate, urgent := 0.0, 0.0
-	for a, d := range p.demands {
-		if a.Base() == base {
-			rate += d.rate()
-			urgent += d.urgentRate()
-		}
-	}
-	return (urgent*urgentLoss + (rate-urgent)*patientLoss) * p.loadTime(r, m).Seconds() / float64(max(1, have))
+	return (s.urgent*urgentLoss + (s.rate-s.urgent)*patientLoss) * p.loadTime(r, m).Seconds() / float64(max(1, s.replicas))
 }
 
 // placeAdapters loads adapters that requests wait for and that no replica of their model has.
@@ -523,7 +581,7 @@
 		if residence == nil {
 			continue
 		}
-		if _, held := residence.Adapters[a.Adapter]; held || p.coming(r, a.Model, a.Adapter, now) {
+		if _, held := residence.Adapters[a.Adapter]; held || p.adapterComing(r, a.Model, a.Adapter, now) {
 			return
 		}
 		if !residence.Ready("", now) || !p.idle(r, now) {
--- a/fleet/machine/progress.go
+++ b/fleet/machine/progress.go
@@ -72,9 +72,14 @@
 	model := e.Models[name]
 	takes := p.loadTime(r, model)
 	ready := now.Add(takes + loadMargin)
-	r.Resident[name] = &Residence{Model: name, ReadyAt: ready, Adapters: make(map[contract.AdapterName]clock.Instant)}
 	b.swap = nil
 	b.busyUntil = ready
+	if takes == model.LoadCold {
+		// The weight store slows down under load, so the runner is asked when it has finished.
+		b.unsync(ready.Add(-reportLag / 2))
+		ready = now.Add(coldBound * takes)
+	}
+	r.Resident[name] = &Residence{Model: name, ReadyAt: ready, Adapters: make(map[contract.AdapterName]clock.Instant)}
 	keepCopy(r, e, name)
 }
 
@@ -110,7 +115,7 @@
 		c.InMemory, c.OnDisk = r.InMemory, r.OnDisk
 	}
 	r.Adopt(c, now)
-	r.accounted, b.synced = true, true
+	r.accounted, b.read, b.synced = true, true, true
 	p.touch(id)
 }
 
@@ -125,9 +130,9 @@
 		return
 	}
 	if a.Adapter != "" {
-		residence.Adapters[a.Adapter] = now.Add(conflictPause) // it keeps its place in the account until the report
+		residence.Adapters[a.Adapter] = now.Add(refusedPause) // it keeps its place in the account until the report
 	} else {
-		residence.ReadyAt = now.Add(conflictPause)
+		residence.ReadyAt = now.Add(refusedPause)
 	}
 	if b != nil && b.pending == nil && b.synced && b.swap == nil {
 		b.unsync(now)
@@ -145,7 +150,7 @@
 	Runner  RunnerID
 	Boot    int64
 	Fence   int64         // of the term under which the account is kept
-	Known   bool          // the account is exact; orders can be given
+	Known   bool          // the runner's own report has been read
 	BusyFor time.Duration // time until the runner can take the next order
 	Coming  contract.ModelName
 	Models  []ModelView
@@ -155,7 +160,13 @@
 type ModelView struct {
 	Model    contract.ModelName
 	ReadyIn  time.Duration // zero: ready
-	Adapters []contract.AdapterName
+	Adapters []AdapterView
+}
+
+// AdapterView is one adapter of a ModelView.
+type AdapterView struct {
+	Adapter contract.AdapterName
+	ReadyIn time.Duration
 }
 
 // Version returns the number of changes of the account so far.
@@ -177,14 +188,17 @@
 
 func (p *Placer) view(r *Runner, fence int64, now clock.Instant) View {
 	b := p.book(r)
-	v := View{Runner: r.ID, Boot: r.Boot, Fence: fence, Known: b.synced, BusyFor: max(0, b.busyUntil.Sub(now))}
+	v := View{Runner: r.ID, Boot: r.Boot, Fence: fence, Known: b.read, BusyFor: max(0, b.busyUntil.Sub(now))}
+	if !b.synced {
+		v.BusyFor = max(v.BusyFor, reportLag)
+	}
 	if b.swap != nil {
 		v.Coming = b.swap.model
 	}
 	for _, residence := range r.Resident {
 		m := ModelView{Model: residence.Model, ReadyIn: max(0, residence.ReadyAt.Sub(now))}
-		for a := range residence.Adapters {
-			m.Adapters = append(m.Adapters, a)
+		for a, readyAt := range residence.Adapters {
+			m.Adapters = append(m.Adapters, AdapterView{Adapter: a, ReadyIn: max(0, readyAt.Sub(now))})
 		}
 		v.Models = append(v.Models, m)
 	}
--- a/fleet/machine/remote.go
+++ b/fleet/machine/remote.go
@@ -39,11 +39,16 @@
 	return m.known && m.swap == "" && !m.busyUntil.After(now) && !m.wishUntil.After(now)
 }
 
-func (m *remote) coming(model contract.ModelName, adapter contract.AdapterName, now clock.Instant) bool {
-	if adapter == "" && m.swap == model {
-		return true
+// freeIn returns the expected time until the runner can take an order.
+func (m *remote) freeIn(now clock.Instant) time.Duration {
+	wait := max(0, m.busyUntil.Sub(now), m.wishUntil.Sub(now))
+	switch {
+	case m.swap != "":
+		wait += swapTime
+	case !m.known:
+		wait = max(wait, reportLag)
 	}
-	return m.wishUntil.After(now) && m.wish.Model == model && m.wish.Adapter == adapter
+	return wait
 }
 
 // Apply replaces what is believed of a runner's contents by its order giver's account. Views of earlier terms are
@@ -71,8 +76,8 @@
 			Model: mv.Model, ReadyAt: now.Add(mv.ReadyIn), Adapters: make(map[contract.AdapterName]clock.Instant, len(mv.Adapters)),
 		}
 		for _, a := range mv.Adapters {
-			residence.Adapters[a] = now
-			if m.wish.Model == mv.Model && m.wish.Adapter == a {
+			residence.Adapters[a.Adapter] = now.Add(a.ReadyIn)
+			if m.wish.Model == mv.Model && m.wish.Adapter == a.Adapter {
 				m.wishUntil = 0
 			}
 		}
--- a/node/entry/admission.go
+++ b/node/entry/admission.go
@@ -246,7 +246,7 @@
 	switch code {
 	case contract.NoRunner:
 		retry = retryService
-	case contract.DeadlineExceeded:
+	case contract.DeadlineExceeded, contract.RunnerFailed:
 		code = contract.Overloaded // it has not run, and the answer may say so
 	}
 	r.refuse(c, contract.Refuse(code, retry, "%s", detail), now)
--- a/node/entry/settle.go
+++ b/node/entry/settle.go
@@ -45,7 +45,9 @@
 	if m.final {
 		return
 	}
-	c.exclude = append(c.exclude, m.attempt.runner)
+	if m.result != resultNoReplica { // it may well hold the model a moment later
+		c.exclude = append(c.exclude, m.attempt.runner)
+	}
 	r.again(c, m, now)
 }
 
