Reread the settings on SIGHUP and when the file changes

Cause: nothing handled SIGHUP, whose default ends the process. Change: a duty rereads the settings file on SIGHUP and every 2 s; rules and the store's address take effect at once, and a faulty file leaves the settings in force. TestReload fails without the change (connection refused).

--- a/cmd/mangopassd/main.go
+++ b/cmd/mangopassd/main.go
@@ -42,7 +42,7 @@
 
 // Execute implements flags.Commander.
 func (c *entryCommand) Execute([]string) error {
-	s, err := settings.Load(c.Settings)
+	s, text, err := settings.Load(c.Settings)
 	if err != nil {
 		return exitError{err, exitSettings}
 	}
@@ -52,7 +52,7 @@
 	log := sink.Logger().With("node", s.ID)
 	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
-	cut, err := entry.New(s, log).Run(stop)
+	cut, err := entry.New(s, c.Settings, text, log).Run(stop)
 	log.Info("stopped", "cut_requests", cut, "dropped_log_lines", sink.Dropped())
 	sink.Close()
 	writer.Stop()
@@ -67,7 +67,7 @@
 
 // Execute implements flags.Commander.
 func (c *checkCommand) Execute([]string) error {
-	if _, err := settings.Load(c.Settings); err != nil {
+	if _, _, err := settings.Load(c.Settings); err != nil {
 		return exitError{err, exitSettings}
 	}
 	return nil
--- a/cmd/processtest/path_test.go
+++ b/cmd/processtest/path_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"os"
 	"strings"
 	"syscall"
 	"testing"
@@ -357,6 +358,31 @@
 	}
 }
 
+// TestReload guards against a SIGHUP that ends the process, and against a faulty file that replaces good settings.
+func TestReload(t *testing.T) {
+	d := start(t)
+	e := d.Entries[0]
+	good, err := os.ReadFile(e.Settings)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i, text := range []string{strings.Replace(string(good), `"revoke_ms": 5000`, `"revoke_ms": 4000`, 1), `{"id":""}`, string(good)} {
+		if err := os.WriteFile(e.Settings, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		e.Signal(syscall.SIGHUP)
+		time.Sleep(300 * time.Millisecond)
+		got := call(t, t.Context(), e.Callers, ask{method: "GET", path: "/stock/1", id: fmt.Sprint("hup", i), deadlineMs: 1500})
+		if got.status != http.StatusOK {
+			t.Errorf("settings %d: got %+v", i, got)
+		}
+	}
+	log := e.Log()
+	if strings.Count(log, "settings reloaded") != 2 || strings.Count(log, "settings rejected") != 1 {
+		t.Errorf("log:\n%s", tail(log, 30))
+	}
+}
+
 // TestMalformedSettings guards the start: the faulty field is named and the exit code is 2.
 func TestMalformedSettings(t *testing.T) {
 	out, code := check(t, `{"id":"x","ip":"127.0.0.1","zone":"nowhere","ports":[1],"store":"s","listen":{}}`)
--- a/cmd/processtest/setup_test.go
+++ b/cmd/processtest/setup_test.go
@@ -199,4 +199,3 @@
 	}
 	return out
 }
-
--- /dev/null
+++ b/duty/signals.go
@@ -0,0 +1,26 @@
+package duty
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"time"
+)
+
+// OnSignals calls f on each of the signals and once per period, until the context ends.
+func OnSignals(ctx context.Context, period time.Duration, f func(ctx context.Context), signals ...os.Signal) {
+	notified := make(chan os.Signal, 1)
+	signal.Notify(notified, signals...)
+	defer signal.Stop(notified)
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-notified:
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		f(ctx)
+	}
+}
--- a/fleet/link/budget.go
+++ b/fleet/link/budget.go
@@ -28,6 +28,9 @@
 // NewBudget returns an unspent budget.
 func NewBudget(rule BudgetRule) *Budget { return &Budget{rule: rule} }
 
+// SetRule applies a changed rule.
+func (b *Budget) SetRule(rule BudgetRule) { b.rule = rule }
+
 // Request counts a caller's request.
 func (b *Budget) Request(now clock.Instant) { b.requests = append(b.expired(b.requests, now), now) }
 
--- a/fleet/link/freshness.go
+++ b/fleet/link/freshness.go
@@ -15,6 +15,9 @@
 // NewFreshness returns a proof that never held; requests with keys are served while it is younger than bound.
 func NewFreshness(bound time.Duration) Freshness { return Freshness{bound: bound} }
 
+// SetBound applies a changed bound.
+func (f *Freshness) SetBound(bound time.Duration) { f.bound = bound }
+
 // Prove notes that the manifest was the newest at an instant, which lies before the call that showed it was sent.
 func (f *Freshness) Prove(at clock.Instant) { f.proved = max(f.proved, at) }
 
--- a/node/entry/admission.go
+++ b/node/entry/admission.go
@@ -96,7 +96,7 @@
 func (r *routing) budget(s contract.ServiceName) *link.Budget {
 	b := r.budgets[s]
 	if b == nil {
-		b = link.NewBudget(link.BudgetRule{Ratio: r.rules.RetryRatio, Extra: r.rules.RetryExtra, Window: r.rules.RetryWindow()})
+		b = link.NewBudget(r.budgetRule())
 		r.budgets[s] = b
 	}
 	return b
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -43,6 +43,8 @@
 // Entry is an entry VM's process.
 type Entry struct {
 	settings *settings.Entry
+	path     string // of the settings file
+	text     string // of the settings file at the start
 	log      *slog.Logger
 	group    *duty.Group
 	routing  *routing
@@ -51,9 +53,9 @@
 	cutoff   context.CancelFunc
 }
 
-// New builds the process without starting it.
-func New(s *settings.Entry, log *slog.Logger) *Entry {
-	return &Entry{settings: s, log: log}
+// New builds the process without starting it. path and text are those of the settings file, which is reread.
+func New(s *settings.Entry, path, text string, log *slog.Logger) *Entry {
+	return &Entry{settings: s, path: path, text: text, log: log}
 }
 
 // Run serves until stop ends and the planned stop is done. It returns the number of requests that the stop cut.
@@ -93,6 +95,8 @@
 		entry: nodeEntry{Address: e.settings.Between(), Boot: boot}, ttl: max(leaseTime, e.settings.Rules.MinLease()),
 	}
 	e.group.Go("lease", keeper.run)
+	reloader := &reload{path: e.path, text: e.text, store: store, routing: r.intake, log: e.log}
+	e.group.Go("reload", reloader.run)
 	e.group.Go("watch", (&watch{store: store, routing: r.intake, log: e.log}).run)
 }
 
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -83,13 +83,15 @@
 	return time.Duration(r.LoadsWindowS * float64(time.Second))
 }
 
-// Load reads and checks a settings file. The error lists every fault with the field's path.
-func Load(path string) (*Entry, error) {
+// Load reads and checks a settings file. It returns the file's text too, against which later readings are compared. The
+// error lists every fault with the field's path.
+func Load(path string) (*Entry, string, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return nil, errors.Wrap(err, "settings")
+		return nil, "", errors.Wrap(err, "settings")
 	}
-	return Parse(data)
+	s, err := Parse(data)
+	return s, string(data), err
 }
 
 // Parse reads and checks settings. Unknown fields are ignored: the platform adds new ones.
