Rank loads by gain, delay sites in use, and repeat the views of accounts

Change: order givers show unchanged accounts again every 0.5 s; loads are ranked by what they gain, waiting requests or requests late because of overload; a model in use delays the site by the time of its runs; silent runners are no sites. TestViewsAreRepeated fails without it.

--- a/fleet/machine/ledger.go
+++ b/fleet/machine/ledger.go
@@ -19,6 +19,13 @@
 	conflictPause = 40 * time.Millisecond
 	// reportLag is the age that a runner's report of itself can have.
 	reportLag = 200 * time.Millisecond
+	// runPause is the wait for the runs of a model that is being unloaded before the next order is tried.
+	runPause = 300 * time.Millisecond
+	// viewPeriod is the time after which an unchanged account is shown to the peers again: one that learns of a runner only
+	// after its order giver has asked it has missed the first view.
+	viewPeriod = 500 * time.Millisecond
+	// maxBackoff bounds the growth of the pause between questions to a runner that does not answer.
+	maxBackoff = 5
 	// refusedPause is how long no request is sent for a model or adapter that a runner has just said not to hold.
 	refusedPause = 120 * time.Millisecond
 	// coldBound times the stated time of a load from the weight store is the longest that is expected.
@@ -44,7 +51,9 @@
 	swap      *swap
 	holdUntil clock.Instant // no order before
 	busyUntil clock.Instant // the load in progress ends then
+	shown     clock.Instant // to the peers, last
 	conflicts int
+	failures  int // orders and questions in a row without an answer
 }
 
 func (b *book) idle(now clock.Instant) bool {
--- a/fleet/machine/placement.go
+++ b/fleet/machine/placement.go
@@ -24,7 +24,7 @@
 	patientLoss = 0.3
 	// waitingGain is the gain of a load for each request that waits for it.
 	waitingGain = 1.0
-	// replicaGain is the gain of a further replica of a busy model.
+	// replicaGain is the least gain of a further replica of a busy model.
 	replicaGain = 1.0
 	// surplusValue is the value of a replica beyond those that a model needs.
 	surplusValue = 0.02
@@ -139,6 +139,10 @@
 			continue
 		}
 		b := p.book(r)
+		if now.Sub(b.shown) > viewPeriod {
+			p.touch(r.ID)
+			b.shown = now
+		}
 		switch {
 		case b.pending != nil || b.holdUntil.After(now):
 		case !b.synced && !b.asked && !b.askAfter.After(now):
@@ -150,8 +154,7 @@
 	}
 	if planner {
 		p.survey(now)
-		p.placeMissing(now, &plan)
-		p.placeReplicas(now, &plan)
+		p.placeModels(now, &plan)
 		p.placeAdapters(now, &plan)
 	}
 	return plan
@@ -173,8 +176,8 @@
 		return plan
 	}
 	p.survey(now)
-	if victims, _, ok := p.evict(r, p.engine(r), model.WeightsMB, now); ok {
-		p.begin(r, w.Model, victims, now, &plan)
+	if e, ok := p.evict(r, p.engine(r), model.WeightsMB, now); ok && e.now {
+		p.begin(r, w.Model, e.victims, now, &plan)
 	}
 	return plan
 }
@@ -354,33 +357,41 @@
 	return s
 }
 
-// placeMissing loads models that requests wait for and that no runner holds, those that have waited longest first.
-func (p *Placer) placeMissing(now clock.Instant, plan *Plan) {
-	clear(p.reserved)
-	for _, a := range p.chosen(func(s *standing) bool { return s.waiting > 0 && s.replicas == 0 }) {
-		p.place(a, waitingGain*float64(p.standing(a).waiting), now, plan)
+// gain returns what one more replica is worth, in requests: those that wait for the first one, the longer the more, or
+// those that come late each second because the present replicas are overloaded.
+func (s *standing) gain(now clock.Instant) float64 {
+	if s.replicas == 0 {
+		if s.waiting == 0 {
+			return 0
+		}
+		return waitingGain * float64(s.waiting) * (1 + now.Sub(s.since).Seconds())
 	}
-}
-
-// placeReplicas adds one replica to each model that has fewer than it needs.
-func (p *Placer) placeReplicas(now clock.Instant, plan *Plan) {
-	for _, a := range p.chosen(func(s *standing) bool { return s.replicas > 0 && s.replicas < s.needed() }) {
-		p.place(a, replicaGain, now, plan)
+	if s.replicas >= s.needed() {
+		return 0
 	}
+	overload := (s.work/float64(s.replicas) - replicaUtilization) / replicaUtilization
+	return replicaGain + s.rate*min(1, max(0, overload))
 }
 
-// chosen returns the models whose standing passes, in the order of the waiting time.
-func (p *Placer) chosen(pass func(*standing) bool) []Artifact {
-	var out []Artifact
+// placeModels loads models where that gains most first.
+func (p *Placer) placeModels(now clock.Instant, plan *Plan) {
+	clear(p.reserved)
+	type candidate struct {
+		artifact Artifact
+		gain     float64
+	}
+	var candidates []candidate
 	for a, s := range p.standings {
-		if pass(s) {
-			out = append(out, a)
+		if gain := s.gain(now); gain > 0 {
+			candidates = append(candidates, candidate{a, gain})
 		}
 	}
-	slices.SortFunc(out, func(a, b Artifact) int {
-		return cmp.Or(cmp.Compare(p.standing(a).since, p.standing(b).since), cmp.Compare(a.Model, b.Model))
+	slices.SortFunc(candidates, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(b.gain, a.gain), cmp.Compare(a.artifact.Model, b.artifact.Model))
 	})
-	return out
+	for _, c := range candidates {
+		p.place(c.artifact, c.gain, now, plan)
+	}
 }
 
 // place starts a swap that brings a model onto the runner where it is expected first, if the gain is above what is lost.
@@ -413,7 +424,7 @@
 // consider judges a runner as the place for a model.
 func (p *Placer) consider(r *Runner, a Artifact, gain float64, now clock.Instant) (site, bool) {
 	e := p.engine(r)
-	if r.Service != a.Service || e == nil || !r.Usable(now) || r.LeavesAt != 0 || r.Holds(a.Model) != nil {
+	if r.Service != a.Service || e == nil || !r.Usable(now) || r.LeavesAt != 0 || r.Holds(a.Model) != nil || !p.answers(r, now) {
 		return site{}, false
 	}
 	model, known := e.Models[a.Model]
@@ -426,20 +437,28 @@
 	}
 	ahead := p.reserved[r.ID]
 	s := site{runner: r, now: ahead == 0 && p.idle(r, now)}
-	victims, lost, ok := p.evict(r, e, model.WeightsMB, now)
-	switch {
-	case !ok:
-		s.now = false
-		lost = runTime.Seconds()
-	case lost >= gain:
+	out, ok := p.evict(r, e, model.WeightsMB, now)
+	if !ok || out.lost >= gain {
 		return site{}, false
 	}
-	s.victims = victims
-	s.cost = lost + load.Seconds() + float64(len(victims))*unloadTime.Seconds() + p.usage.Queued(r.ID).Seconds() +
+	s.victims, s.now = out.victims, s.now && out.now
+	s.cost = out.lost + load.Seconds() + float64(len(out.victims))*unloadTime.Seconds() + p.usage.Queued(r.ID).Seconds() +
 		p.freeIn(r, now).Seconds() + float64(ahead)*swapTime.Seconds()
+	if out.inUse {
+		s.cost += runTime.Seconds()
+	}
 	return s, true
 }
 
+// answers reports whether a runner's account can be relied on: the runner has answered in this term, and since.
+func (p *Placer) answers(r *Runner, now clock.Instant) bool {
+	if p.authority.MayOrder(r.ID, now) {
+		b := p.book(r)
+		return b.read && b.failures == 0
+	}
+	return p.remote(r).known
+}
+
 func (p *Placer) freeIn(r *Runner, now clock.Instant) time.Duration {
 	if p.authority.MayOrder(r.ID, now) {
 		return p.book(r).freeIn(now)
@@ -481,26 +500,27 @@
 	return loading < coldLoadsAtOnce
 }
 
-// evict chooses the models of least value whose removal makes room, and returns the value lost.
-func (p *Placer) evict(r *Runner, e *contract.Engine, need float64, now clock.Instant) ([]contract.ModelName, float64, bool) {
+// eviction is a choice of models to unload.
+type eviction struct {
+	victims []contract.ModelName
+	lost    float64 // value of the victims
+	inUse   bool    // requests run on a victim; its unload waits for them
+	now     bool    // the unloads can be ordered now
+}
+
+// candidate is a model that may be unloaded.
+type candidate struct {
+	name  contract.ModelName
+	mb    float64
+	value float64
+	inUse bool
+	now   bool
+}
+
+// evict chooses the models of least value whose removal makes room; ok is false if there is no room to be made.
+func (p *Placer) evict(r *Runner, e *contract.Engine, need float64, now clock.Instant) (out eviction, ok bool) {
 	free := e.WeightsMB - usedMB(r, e)
-	type candidate struct {
-		name  contract.ModelName
-		mb    float64
-		value float64
-	}
-	var candidates []candidate
-	for name, residence := range r.Resident {
-		if !p.evictable(r, residence, now) {
-			continue
-		}
-		m := e.Models[name]
-		mb := m.WeightsMB + float64(len(residence.Adapters))*m.AdapterMB
-		candidates = append(candidates, candidate{name, mb, p.value(r, m)})
-	}
-	slices.SortFunc(candidates, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.value, b.value), cmp.Compare(a.name, b.name))
-	})
+	candidates := p.candidates(r, e, now)
 	var chosen []candidate
 	for _, c := range candidates {
 		if free >= need {
@@ -510,7 +530,7 @@
 		free += c.mb
 	}
 	if free < need {
-		return nil, 0, false
+		return eviction{}, false
 	}
 	// Models whose removal turns out to be needless stay, the most valuable first.
 	for i := len(chosen) - 1; i >= 0; i-- {
@@ -519,22 +539,36 @@
 			chosen = slices.Delete(chosen, i, i+1)
 		}
 	}
-	var names []contract.ModelName
-	lost := 0.0
+	out.now = true
 	for _, c := range chosen {
-		names = append(names, c.name)
-		lost += c.value
+		out.victims = append(out.victims, c.name)
+		out.lost += c.value
+		out.inUse = out.inUse || c.inUse
+		out.now = out.now && c.now
 	}
-	return names, lost, true
+	return out, true
 }
 
-func (p *Placer) evictable(r *Runner, residence *Residence, now clock.Instant) bool {
-	a := Artifact{Service: r.Service, Model: residence.Model}
-	if residence.ReadyAt.Add(settleTime).After(now) || p.inUse(r, residence) > 0 {
-		return false
+// candidates returns the models on a runner in the order of their value.
+func (p *Placer) candidates(r *Runner, e *contract.Engine, now clock.Instant) []candidate {
+	var out []candidate
+	for name, residence := range r.Resident {
+		s := p.standing(Artifact{Service: r.Service, Model: name})
+		if s.waiting > 0 && s.replicas <= 1 {
+			continue
+		}
+		m := e.Models[name]
+		c := candidate{
+			name: name, mb: m.WeightsMB + float64(len(residence.Adapters))*m.AdapterMB, value: p.value(r, m),
+			inUse: p.inUse(r, residence) > 0,
+		}
+		c.now = !residence.ReadyAt.Add(settleTime).After(now) && (!c.inUse || s.replicas > 1)
+		out = append(out, c)
 	}
-	s := p.standing(a)
-	return s.waiting == 0 || s.replicas > 1
+	slices.SortFunc(out, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.value, b.value), cmp.Compare(a.name, b.name))
+	})
+	return out
 }
 
 func (p *Placer) inUse(r *Runner, residence *Residence) int {
--- a/fleet/machine/placement_test.go
+++ b/fleet/machine/placement_test.go
@@ -253,3 +253,30 @@
 		t.Error("a draining runner is usable")
 	}
 }
+
+// TestViewsAreRepeated guards planners that learn of a runner only after its order giver has shown its account once: the
+// runner would count as silent for good.
+func TestViewsAreRepeated(t *testing.T) {
+	giver, planner := newWorld(1, 4), newWorld(1, 4)
+	planner.placer.authority = nowhere{}
+	planner.fleet.Remove("r0")
+	fence := func(RunnerID) int64 { return 1 }
+	version := uint64(0)
+	show := func() {
+		giver.act(giver.placer.Plan(false, giver.now), func() int { return 9 })
+		for _, v := range giver.placer.Views(version, fence, giver.now) {
+			planner.placer.Apply(v, planner.now)
+		}
+		version = giver.placer.Version()
+	}
+	show()
+	planner.announce(planner.engines["r0"])
+	for range 60 {
+		giver.advance(20 * time.Millisecond)
+		planner.advance(20 * time.Millisecond)
+		show()
+	}
+	if r := planner.fleet.Get("r0"); !planner.placer.answers(r, planner.now) {
+		t.Error("the runner counts as silent")
+	}
+}
--- a/fleet/machine/progress.go
+++ b/fleet/machine/progress.go
@@ -16,6 +16,11 @@
 	}
 	b.pending = nil
 	p.touch(r.ID)
+	if outcome == OrderUnknown {
+		b.failures++
+	} else if outcome != OrderNotSent {
+		b.failures = 0
+	}
 	switch outcome {
 	case OrderAccepted, OrderHolds:
 		b.conflicts = 0
@@ -47,6 +52,9 @@
 func (p *Placer) carriedOut(r *Runner, b *book, o Order, now clock.Instant) {
 	switch {
 	case o.Kind == Unload && o.Adapter == "":
+		if residence := r.Holds(o.Model); residence != nil && p.inUse(r, residence) > 0 {
+			b.holdUntil = now.Add(runPause)
+		}
 		delete(r.Resident, o.Model)
 		if b.swap != nil {
 			b.swap.victims = slices.DeleteFunc(b.swap.victims, func(m contract.ModelName) bool { return m == o.Model })
@@ -107,7 +115,14 @@
 		return
 	}
 	b.asked = false
-	if !ok || c.Busy {
+	if !ok {
+		b.failures++
+		b.askAfter = now.Add(reportLag * time.Duration(min(b.failures, maxBackoff)))
+		p.touch(id)
+		return
+	}
+	b.failures = 0
+	if c.Busy {
 		b.askAfter = now.Add(reportLag)
 		return
 	}
@@ -188,7 +203,7 @@
 
 func (p *Placer) view(r *Runner, fence int64, now clock.Instant) View {
 	b := p.book(r)
-	v := View{Runner: r.ID, Boot: r.Boot, Fence: fence, Known: b.read, BusyFor: max(0, b.busyUntil.Sub(now))}
+	v := View{Runner: r.ID, Boot: r.Boot, Fence: fence, Known: b.read && b.failures == 0, BusyFor: max(0, b.busyUntil.Sub(now))}
 	if !b.synced {
 		v.BusyFor = max(v.BusyFor, reportLag)
 	}
