Use more of the operators' slack on limits

Change: 55 in 100 of the slack, spread over the window, raise the rate; 8 of the tolerated 10 in 100 are used; the rest covers what VMs admit before they hear of each other. Rules that no code read are gone from the settings.

--- a/fleet/contract/quota.go
+++ b/fleet/contract/quota.go
@@ -9,8 +9,9 @@
 
 // QuotaSlack widens a limit so that delays between the entry VMs do not refuse what lies inside it.
 type QuotaSlack struct {
-	Rate  float64 // share of the rate that may be exceeded
-	Burst float64 // tokens or requests beyond the burst
+	Rate      float64 // share of the rate that may be exceeded
+	PerSecond float64 // tokens or requests per second beyond it
+	Burst     float64 // tokens or requests beyond the burst
 }
 
 // Quota is one entry VM's view of an organisation's limit over all entry VMs: a token bucket from which the VM takes
@@ -124,7 +125,7 @@
 	if elapsed <= 0 {
 		return
 	}
-	rate := q.limit.PerSecond * (1 + q.slack.Rate) * q.share
+	rate := (q.limit.PerSecond*(1+q.slack.Rate) + q.slack.PerSecond) * q.share
 	q.level = math.Min(q.capacity(), q.level+elapsed.Seconds()*rate)
 	q.at = now
 }
--- a/node/entry/admission.go
+++ b/node/entry/admission.go
@@ -25,10 +25,12 @@
 	firstToken = 100 * time.Millisecond
 	// silenceBound is the silence after which a resumable stream goes on elsewhere; a requester gives up after 3 s.
 	silenceBound = 1200 * time.Millisecond
-	// quotaBurstPart is the part of the operators' slack by which the burst is widened.
-	quotaBurstPart = 0.3
+	// quotaBurstPart and quotaSlackPart are the parts of the operators' slack that widen the burst and, spread over the
+	// window, the rate. The rest covers what several VMs admit before they hear of each other.
+	quotaBurstPart = 0.1
+	quotaSlackPart = 0.55
 	// quotaRatePart is the part of the tolerated excess of the rate that is used.
-	quotaRatePart = 0.5
+	quotaRatePart = 0.8
 )
 
 // apply admits a call and makes its first decision.
@@ -84,15 +86,20 @@
 func (r *routing) quota(o *contract.Organisation, now clock.Instant) *contract.Quota {
 	q := r.quotas[o.Name]
 	if q == nil {
-		q = contract.NewQuota(o.Limit, contract.QuotaSlack{
-			Rate: quotaRatePart * r.rules.QuotaOver, Burst: quotaBurstPart * r.rules.QuotaSlack,
-		}, now)
+		q = contract.NewQuota(o.Limit, r.quotaSlack(), now)
 		q.SetShare(r.members.share(now), now)
 		r.quotas[o.Name] = q
 	}
 	return q
 }
 
+func (r *routing) quotaSlack() contract.QuotaSlack {
+	return contract.QuotaSlack{
+		Rate: quotaRatePart * r.rules.QuotaOver, PerSecond: quotaSlackPart * r.rules.QuotaSlack / r.rules.QuotaWindowS,
+		Burst: quotaBurstPart * r.rules.QuotaSlack,
+	}
+}
+
 func (r *routing) budget(s contract.ServiceName) *link.Budget {
 	b := r.budgets[s]
 	if b == nil {
--- a/node/entry/routing_test.go
+++ b/node/entry/routing_test.go
@@ -28,7 +28,7 @@
 
 func newBench() *bench {
 	s := &settings.Entry{ID: "n1", Zone: "z", Zones: map[zoneID]regionID{"z": "r"}, Rules: settings.Rules{
-		RevokeMs: 5000, LeaseMs: 3000, RetryRatio: 0.2, RetryExtra: 50, RetryWindowS: 10, GraceS: 8,
+		RevokeMs: 5000, LeaseMs: 3000, RetryRatio: 0.2, RetryExtra: 50, RetryWindowS: 10, GraceS: 8, QuotaWindowS: 8,
 	}}
 	b := &bench{routing: newRouting(s, 1, slog.New(slog.DiscardHandler), newMetrics(prometheus.NewRegistry())), now: t0}
 	b.giver.orders = ring.New[orderJob]("orders", 64)
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -37,28 +37,26 @@
 
 // Rules holds the operators' bounds.
 type Rules struct {
-	RevokeMs      int     `json:"revoke_ms"`       // a withdrawn key must stop working within
-	GraceS        float64 `json:"grace_s"`         // a planned stop may take
-	LeaseMs       int     `json:"lease_ms"`        // pause between the orders of two order givers
-	MinLeaseMs    int     `json:"min_lease_ms"`    // shortest lease of the store
-	RetryRatio    float64 `json:"retry_ratio"`     // repeats for each request, over all entry VMs
-	RetryExtra    float64 `json:"retry_extra"`     // repeats beyond that
-	RetryWindowS  float64 `json:"retry_window_s"`  // window of both
-	QuotaOver     float64 `json:"quota_over"`      // share by which a limit may be exceeded
-	QuotaSlack    float64 `json:"quota_slack"`     // tokens beyond it
-	LoadsWindowS  float64 `json:"loads_window_s"`  // window of the weight store's rate
-	LoadsOver     float64 `json:"loads_over"`      // factor on that rate
-	LoadsExtra    float64 `json:"loads_extra"`     // loads beyond it
-	StoreHistoryS float64 `json:"store_history_s"` // history that the store keeps for watches
+	RevokeMs     int     `json:"revoke_ms"`      // a withdrawn key must stop working within
+	GraceS       float64 `json:"grace_s"`        // a planned stop may take
+	LeaseMs      int     `json:"lease_ms"`       // pause between the orders of two order givers
+	MinLeaseMs   int     `json:"min_lease_ms"`   // shortest lease of the store
+	RetryRatio   float64 `json:"retry_ratio"`    // repeats for each request, over all entry VMs
+	RetryExtra   float64 `json:"retry_extra"`    // repeats beyond that
+	RetryWindowS float64 `json:"retry_window_s"` // window of both
+	QuotaOver    float64 `json:"quota_over"`     // share by which a limit may be exceeded
+	QuotaSlack   float64 `json:"quota_slack"`    // tokens beyond it in each window
+	QuotaWindowS float64 `json:"quota_window_s"` // that window
 }
 
 // Defaults of rules that may be left out.
 const (
-	defaultGraceS     = 8
-	defaultLeaseMs    = 3000
-	defaultMinLeaseMs = 1000
-	defaultRevokeMs   = 5000
-	defaultLoadsExtra = 3
+	defaultGraceS       = 8
+	defaultLeaseMs      = 3000
+	defaultMinLeaseMs   = 1000
+	defaultRevokeMs     = 5000
+	defaultRetryWindowS = 10
+	defaultQuotaWindowS = 8
 )
 
 // Revoke returns the time within which a withdrawn key must stop working.
@@ -78,11 +76,6 @@
 	return time.Duration(r.RetryWindowS * float64(time.Second))
 }
 
-// LoadsWindow returns the window of the weight store's rate.
-func (r Rules) LoadsWindow() time.Duration {
-	return time.Duration(r.LoadsWindowS * float64(time.Second))
-}
-
 // Load reads and checks a settings file. It returns the file's text too, against which later readings are compared. The
 // error lists every fault with the field's path.
 func Load(path string) (*Entry, string, error) {
@@ -98,7 +91,7 @@
 func Parse(data []byte) (*Entry, error) {
 	s := &Entry{Rules: Rules{
 		RevokeMs: defaultRevokeMs, GraceS: defaultGraceS, LeaseMs: defaultLeaseMs, MinLeaseMs: defaultMinLeaseMs,
-		LoadsExtra: defaultLoadsExtra, RetryWindowS: 10, LoadsWindowS: 5, LoadsOver: 1,
+		RetryWindowS: defaultRetryWindowS, QuotaWindowS: defaultQuotaWindowS,
 	}}
 	if err := json.Unmarshal(data, s); err != nil {
 		return nil, errors.Wrap(err, "settings")
@@ -157,8 +150,8 @@
 			fault(a.field, "%q is not IP:port", a.value)
 		}
 	}
-	if s.Rules.RevokeMs <= 0 || s.Rules.GraceS <= 0 || s.Rules.LeaseMs <= 0 {
-		fault("rules", "revoke_ms, grace_s and lease_ms must be positive")
+	if s.Rules.RevokeMs <= 0 || s.Rules.GraceS <= 0 || s.Rules.LeaseMs <= 0 || s.Rules.QuotaWindowS <= 0 {
+		fault("rules", "revoke_ms, grace_s, lease_ms and quota_window_s must be positive")
 	}
 	return faults
 }
