--- a/fleet/machine/placement.go
+++ b/fleet/machine/placement.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -18,7 +19,7 @@
 	// replica against the loss of the first.
 	urgentRateForSpare = 1.0
 	// settleTime protects a model that was just loaded until the requests that waited for it have been sent.
-	settleTime = 400 * time.Millisecond
+	settleTime = 250 * time.Millisecond
 	// urgentLoss and patientLoss weigh a request that has to wait for a load, per second of it.
 	urgentLoss  = 3.0
 	patientLoss = 0.3
@@ -26,12 +27,14 @@
 	waitingGain = 1.0
 	// replicaGain is the least gain of a further replica of a busy model.
 	replicaGain = 1.0
+	// spreadGain is the gain of a first copy of a model that no runner has, while there is no demand at all.
+	spreadGain = 0.05
 	// surplusValue is the value of a replica beyond those that a model needs.
 	surplusValue = 0.02
 	// unloadTime is the usual time of an unload without running requests.
 	unloadTime = 50 * time.Millisecond
 	// runTime is the usual time until a model in use can be unloaded.
-	runTime = 1500 * time.Millisecond
+	runTime = 600 * time.Millisecond
 	// coldLoadsAtOnce is the number of loads that the weight store serves at full speed.
 	coldLoadsAtOnce = 4
 	// comingAdapters is the number of adapters that may be on their way to one runner.
@@ -389,11 +392,40 @@
 	slices.SortFunc(candidates, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(b.gain, a.gain), cmp.Compare(a.artifact.Model, b.artifact.Model))
 	})
+	if len(p.demands) == 0 {
+		p.spread(now, plan)
+	}
 	for _, c := range candidates {
 		p.place(c.artifact, c.gain, now, plan)
 	}
 }
 
+// spread loads models that no runner has a copy of, before there is any demand: a later request then waits a second
+// instead of six.
+func (p *Placer) spread(now clock.Instant, plan *Plan) {
+	for _, s := range p.services {
+		if s.Engine == nil {
+			continue
+		}
+		for _, name := range slices.Sorted(maps.Keys(s.Engine.Models)) {
+			a := Artifact{Service: s.Name, Model: name}
+			if !p.copied(a) && p.standing(a).replicas == 0 {
+				p.place(a, spreadGain, now, plan)
+			}
+		}
+	}
+}
+
+// copied reports whether any runner holds a model or has a copy of it.
+func (p *Placer) copied(a Artifact) bool {
+	for _, r := range p.fleet.All() {
+		if r.Service == a.Service && (r.Holds(a.Model) != nil || slices.Contains(r.InMemory, a.Model) || slices.Contains(r.OnDisk, a.Model)) {
+			return true
+		}
+	}
+	return false
+}
+
 // place starts a swap that brings a model onto the runner where it is expected first, if the gain is above what is lost.
 // While that runner is busy the model waits for its turn there.
 func (p *Placer) place(a Artifact, gain float64, now clock.Instant, plan *Plan) {
@@ -517,7 +549,7 @@
 	now   bool
 }
 
-// evict chooses the models of least value whose removal makes room; ok is false if there is no room to be made.
+// evict chooses the models whose removal makes room at the least cost; ok is false if there is no room to be made.
 func (p *Placer) evict(r *Runner, e *contract.Engine, need float64, now clock.Instant) (out eviction, ok bool) {
 	free := e.WeightsMB - usedMB(r, e)
 	candidates := p.candidates(r, e, now)
@@ -532,7 +564,7 @@
 	if free < need {
 		return eviction{}, false
 	}
-	// Models whose removal turns out to be needless stay, the most valuable first.
+	// Models whose removal turns out to be needless stay, the costliest first.
 	for i := len(chosen) - 1; i >= 0; i-- {
 		if free-chosen[i].mb >= need {
 			free -= chosen[i].mb
@@ -549,7 +581,7 @@
 	return out, true
 }
 
-// candidates returns the models on a runner in the order of their value.
+// candidates returns the models on a runner, those first whose removal costs least.
 func (p *Placer) candidates(r *Runner, e *contract.Engine, now clock.Instant) []candidate {
 	var out []candidate
 	for name, residence := range r.Resident {
@@ -566,11 +598,19 @@
 		out = append(out, c)
 	}
 	slices.SortFunc(out, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.value, b.value), cmp.Compare(a.name, b.name))
+		return cmp.Or(cmp.Compare(a.cost(), b.cost()), cmp.Compare(a.name, b.name))
 	})
 	return out
 }
 
+// cost returns the value lost and the time until the model's runs have ended.
+func (c candidate) cost() float64 {
+	if c.inUse || !c.now {
+		return c.value + runTime.Seconds()
+	}
+	return c.value
+}
+
 func (p *Placer) inUse(r *Runner, residence *Residence) int {
 	n := p.usage.InUse(r.ID, Artifact{Service: r.Service, Model: residence.Model})
 	for adapter := range residence.Adapters {
