Treat runners whose order giver is silent as no place for loads

Change: a view counts for three of its periods; after that the runner is no site. TestSuspendedOrderGiver fails without.

--- a/fleet/machine/ledger.go
+++ b/fleet/machine/ledger.go
@@ -24,6 +24,8 @@
 	// viewPeriod is the time after which an unchanged account is shown to the peers again: one that learns of a runner only
 	// after its order giver has asked it has missed the first view.
 	viewPeriod = 500 * time.Millisecond
+	// viewsMissed is the number of periods without a view after which an order giver counts as gone.
+	viewsMissed = 3
 	// maxBackoff bounds the growth of the pause between questions to a runner that does not answer.
 	maxBackoff = 5
 	// refusedPause is how long no request is sent for a model or adapter that a runner has just said not to hold.
--- a/fleet/machine/placement.go
+++ b/fleet/machine/placement.go
@@ -488,7 +488,7 @@
 		b := p.book(r)
 		return b.read && b.failures == 0
 	}
-	return p.remote(r).known
+	return p.remote(r).answers(now)
 }
 
 func (p *Placer) freeIn(r *Runner, now clock.Instant) time.Duration {
--- a/fleet/machine/placement_test.go
+++ b/fleet/machine/placement_test.go
@@ -280,3 +280,25 @@
 		t.Error("the runner counts as silent")
 	}
 }
+
+// TestSuspendedOrderGiver guards the placement against an order giver that is suspended: its runners take no orders, so
+// the planner must not wait for them.
+func TestSuspendedOrderGiver(t *testing.T) {
+	w := newWorld(2, 8)
+	w.placer.authority = nowhere{}
+	show := func(id RunnerID) {
+		w.placer.Apply(View{Runner: id, Boot: 1, Fence: 1, Known: true}, w.now)
+	}
+	show("r0")
+	show("r1")
+	w.fleet.Get("r0").OnDisk = []contract.ModelName{modelName(3)} // the better place while its order giver lives
+	for range 4 {
+		w.advance(400 * time.Millisecond)
+		show("r1")
+	}
+	w.placer.Observe("n", []Asked{{Artifact: artifact(3, 0), Waiting: 1}}, w.now)
+	plan := w.placer.Plan(true, w.now)
+	if len(plan.Wishes) != 1 || plan.Wishes[0].Runner != "r1" {
+		t.Errorf("wishes %+v", plan.Wishes)
+	}
+}
--- a/fleet/machine/remote.go
+++ b/fleet/machine/remote.go
@@ -15,6 +15,7 @@
 	boot      int64
 	fence     int64
 	known     bool
+	seen      clock.Instant // the last view came
 	busyUntil clock.Instant
 	swap      contract.ModelName // about to be loaded; empty: none
 	wish      Wish
@@ -35,8 +36,14 @@
 	m.wishUntil = now.Add(wishTime)
 }
 
+// answers reports whether the runner's order giver has shown its account lately. Views are repeated, so one that stays
+// away means that the order giver is gone, cut off or suspended.
+func (m *remote) answers(now clock.Instant) bool {
+	return m.known && now.Sub(m.seen) < viewsMissed*viewPeriod
+}
+
 func (m *remote) idle(now clock.Instant) bool {
-	return m.known && m.swap == "" && !m.busyUntil.After(now) && !m.wishUntil.After(now)
+	return m.answers(now) && m.swap == "" && !m.busyUntil.After(now) && !m.wishUntil.After(now)
 }
 
 // freeIn returns the expected time until the runner can take an order.
@@ -45,7 +52,7 @@
 	switch {
 	case m.swap != "":
 		wait += swapTime
-	case !m.known:
+	case !m.answers(now):
 		wait = max(wait, reportLag)
 	}
 	return wait
@@ -62,7 +69,7 @@
 	if v.Fence < m.fence {
 		return
 	}
-	m.fence, m.known, m.busyUntil, m.swap = v.Fence, v.Known, now.Add(v.BusyFor), v.Coming
+	m.fence, m.known, m.busyUntil, m.swap, m.seen = v.Fence, v.Known, now.Add(v.BusyFor), v.Coming, now
 	if v.Coming != "" || v.BusyFor > 0 {
 		m.wishUntil = 0 // the wish, if there was one, has been taken up or is out of date
 	}
