Survey once a plan and bound how often the routing duty looks

Each plan judged the evictions, the loads from the weight store and the use of every runner anew for each model, at each message. Ruled out: unreachable runners; they answered the other VMs. Change: a plan sums up use, evictions and loads once and is made every 20 ms at most; waiting calls, orders and reports are looked at every 6 ms at most.

--- a/fleet/link/link_test.go
+++ b/fleet/link/link_test.go
@@ -157,12 +157,13 @@
 	f, table := twoRunners()
 	a := machine.Artifact{Service: "s", Model: "m"}
 	table.To(f.Get("near")).Sent("near", a, time.Second)
-	if table.InUse("near", a) != 1 || table.Queued("near") != time.Second {
+	place := machine.Place{Runner: "near", Artifact: a}
+	if u := table.Use(); u.Running[place] != 1 || u.Queued["near"] != time.Second {
 		t.Fatal("a sent request does not count")
 	}
 	f.Announce(machine.Announcement{ID: "near", Service: "s", Address: "1.1.1.1:1", Zone: "near", Boot: 5}, start)
 	table.To(f.Get("near"))
-	if table.InUse("near", a) != 0 {
+	if u := table.Use(); u.Running[place] != 0 {
 		t.Error("requests of the earlier start count")
 	}
 }
--- a/fleet/link/table.go
+++ b/fleet/link/table.go
@@ -94,26 +94,24 @@
 	return out
 }
 
-// InUse implements machine.Usage.
-func (t *Table) InUse(r machine.RunnerID, a machine.Artifact) int {
-	n := 0
-	if l := t.links[r]; l != nil && l.own[a] != nil {
-		n += l.own[a].Running
+// Use implements machine.Usage.
+func (t *Table) Use() machine.Use {
+	u := machine.Use{Running: make(map[machine.Place]int), Queued: make(map[machine.RunnerID]time.Duration)}
+	add := func(load *Load) {
+		u.Running[machine.Place{Runner: load.Runner, Artifact: load.Artifact}] += load.Running
+		u.Queued[load.Runner] += load.Queued
+	}
+	for _, l := range t.links {
+		for _, load := range l.own {
+			add(load)
+		}
 	}
 	for _, loads := range t.peers {
-		for _, load := range loads {
-			if load.Runner == r && load.Artifact == a {
-				n += load.Running
-			}
+		for i := range loads {
+			add(&loads[i])
 		}
 	}
-	return n
-}
-
-// Queued implements machine.Usage.
-func (t *Table) Queued(r machine.RunnerID) time.Duration {
-	_, queued := t.total(r)
-	return queued
+	return u
 }
 
 // total returns the requests and the prefill time at a runner over all nodes.
@@ -140,7 +138,7 @@
 func (t *Table) Pick(f *machine.Fleet, n Need, now clock.Instant) (Choice, bool) {
 	var best Choice
 	lowest := time.Duration(-1)
-	chain := chains(n.Artifact, n.Prompt)
+	var chain []uint64
 	for _, r := range f.All() {
 		if r.Service != n.Artifact.Service || !r.Usable(now) || excluded(n.Exclude, r.ID) {
 			continue
@@ -148,6 +146,9 @@
 		if n.Artifact.Model != "" && !r.Holds(n.Artifact.Model).Ready(n.Artifact.Adapter, now) {
 			continue
 		}
+		if chain == nil {
+			chain = chains(n.Artifact, n.Prompt)
+		}
 		choice := t.judge(r, n, chain)
 		cost := t.cost(choice, n, now)
 		if lowest < 0 || cost < lowest {
--- a/fleet/machine/engine_test.go
+++ b/fleet/machine/engine_test.go
@@ -113,8 +113,7 @@
 	everywhere struct{}
 )
 
-func (quiet) InUse(RunnerID, Artifact) int               { return 0 }
-func (quiet) Queued(RunnerID) time.Duration              { return 0 }
+func (quiet) Use() Use                                   { return Use{} }
 func (everywhere) MayOrder(RunnerID, clock.Instant) bool { return true }
 func modelName(i int) contract.ModelName                 { return contract.ModelName(fmt.Sprint("m", i)) }
 func adapterName(i int) contract.AdapterName             { return contract.AdapterName(fmt.Sprint("a", i)) }
--- a/fleet/machine/placement.go
+++ b/fleet/machine/placement.go
@@ -37,14 +37,27 @@
 	runTime = 600 * time.Millisecond
 	// coldLoadsAtOnce is the number of loads that the weight store serves at full speed.
 	coldLoadsAtOnce = 4
+	// planPeriod is the shortest time between two considerations of the placement.
+	planPeriod = 20 * time.Millisecond
 	// comingAdapters is the number of adapters that may be on their way to one runner.
 	comingAdapters = 4
 )
 
-// Usage tells how many requests run or wait at a runner for an artifact, over all entry VMs.
+// Place is an artifact on a runner.
+type Place struct {
+	Runner   RunnerID
+	Artifact Artifact
+}
+
+// Use is what runs and waits at the runners, over all entry VMs.
+type Use struct {
+	Running map[Place]int              // requests
+	Queued  map[RunnerID]time.Duration // prefill time
+}
+
+// Usage sums up what runs and waits at the runners.
 type Usage interface {
-	InUse(r RunnerID, a Artifact) int
-	Queued(r RunnerID) time.Duration // prefill time that waits at the runner
+	Use() Use
 }
 
 // Authority tells which runners' orders this process gives.
@@ -70,8 +83,14 @@
 	books     map[RunnerID]*book
 	remotes   map[RunnerID]*remote
 	demands   map[Artifact]*demand
-	standings map[Artifact]*standing // of the survey at the start of the last plan
-	reserved  map[RunnerID]int       // models that wait for their turn at a busy runner, in this plan
+	planned   clock.Instant // the placement was last considered
+
+	// Of the survey at the start of a plan.
+	use       Use
+	standings map[Artifact]*standing
+	evictable map[RunnerID][]candidate // by cost of removal
+	cold      int                      // loads from the weight store in progress
+	reserved  map[RunnerID]int         // models that wait for their turn at a busy runner
 	changed   map[RunnerID]uint64
 	version   uint64
 }
@@ -81,7 +100,8 @@
 	return &Placer{
 		fleet: fleet, usage: usage, authority: authority, books: make(map[RunnerID]*book),
 		remotes: make(map[RunnerID]*remote), demands: make(map[Artifact]*demand),
-		standings: make(map[Artifact]*standing), reserved: make(map[RunnerID]int), changed: make(map[RunnerID]uint64),
+		standings: make(map[Artifact]*standing), evictable: make(map[RunnerID][]candidate),
+		reserved: make(map[RunnerID]int), changed: make(map[RunnerID]uint64),
 	}
 }
 
@@ -155,7 +175,8 @@
 			p.step(r, b, now, &plan)
 		}
 	}
-	if planner {
+	if planner && now.Sub(p.planned) >= planPeriod {
+		p.planned = now
 		p.survey(now)
 		p.placeModels(now, &plan)
 		p.placeAdapters(now, &plan)
@@ -170,6 +191,7 @@
 	if r == nil || r.Boot != w.Boot || p.engine(r) == nil || !r.Usable(now) || !p.authority.MayOrder(r.ID, now) || !p.idle(r, now) {
 		return plan
 	}
+	p.survey(now)
 	if w.Adapter != "" {
 		p.loadAdapter(r, Artifact{Service: r.Service, Model: w.Model, Adapter: w.Adapter}, now, &plan)
 		return plan
@@ -178,7 +200,6 @@
 	if !known || r.Holds(w.Model) != nil {
 		return plan
 	}
-	p.survey(now)
 	if e, ok := p.evict(r, p.engine(r), model.WeightsMB, now); ok && e.now {
 		p.begin(r, w.Model, e.victims, now, &plan)
 	}
@@ -328,6 +349,9 @@
 // survey sums up the demand and the replicas of each model.
 func (p *Placer) survey(now clock.Instant) {
 	clear(p.standings)
+	clear(p.evictable)
+	p.use = p.usage.Use()
+	p.cold = p.loadingCold(now)
 	for a, d := range p.demands {
 		s := p.standing(a.Base())
 		s.waiting += d.total()
@@ -439,6 +463,9 @@
 	case best.runner == nil:
 	case best.now:
 		p.begin(best.runner, a.Model, best.victims, now, plan)
+		if m := p.engine(best.runner).Models[a.Model]; p.loadTime(best.runner, m) == m.LoadCold {
+			p.cold++
+		}
 		p.standing(a).replicas++
 	default:
 		p.reserved[best.runner.ID]++
@@ -464,7 +491,7 @@
 		return site{}, false
 	}
 	load := p.loadTime(r, model)
-	if load == model.LoadCold && !p.mayLoadCold(now) {
+	if load == model.LoadCold && p.cold >= coldLoadsAtOnce {
 		return site{}, false
 	}
 	ahead := p.reserved[r.ID]
@@ -474,7 +501,7 @@
 		return site{}, false
 	}
 	s.victims, s.now = out.victims, s.now && out.now
-	s.cost = out.lost + load.Seconds() + float64(len(out.victims))*unloadTime.Seconds() + p.usage.Queued(r.ID).Seconds() +
+	s.cost = out.lost + load.Seconds() + float64(len(out.victims))*unloadTime.Seconds() + p.use.Queued[r.ID].Seconds() +
 		p.freeIn(r, now).Seconds() + float64(ahead)*swapTime.Seconds()
 	if out.inUse {
 		s.cost += runTime.Seconds()
@@ -509,9 +536,9 @@
 	return m.LoadCold
 }
 
-// mayLoadCold reports whether the weight store has room for one more load. The bound on loads at once keeps their number
-// per second far below the weight store's rate, since each takes seconds.
-func (p *Placer) mayLoadCold(now clock.Instant) bool {
+// loadingCold counts the loads from the weight store in progress. The bound on loads at once keeps their number per second
+// far below the weight store's rate, since each takes seconds.
+func (p *Placer) loadingCold(now clock.Instant) int {
 	loading := 0
 	for _, r := range p.fleet.All() {
 		e := p.engine(r)
@@ -529,7 +556,7 @@
 			}
 		}
 	}
-	return loading < coldLoadsAtOnce
+	return loading
 }
 
 // eviction is a choice of models to unload.
@@ -552,7 +579,11 @@
 // evict chooses the models whose removal makes room at the least cost; ok is false if there is no room to be made.
 func (p *Placer) evict(r *Runner, e *contract.Engine, need float64, now clock.Instant) (out eviction, ok bool) {
 	free := e.WeightsMB - usedMB(r, e)
-	candidates := p.candidates(r, e, now)
+	candidates, known := p.evictable[r.ID]
+	if !known {
+		candidates = p.candidates(r, e, now)
+		p.evictable[r.ID] = candidates
+	}
 	var chosen []candidate
 	for _, c := range candidates {
 		if free >= need {
@@ -612,9 +643,9 @@
 }
 
 func (p *Placer) inUse(r *Runner, residence *Residence) int {
-	n := p.usage.InUse(r.ID, Artifact{Service: r.Service, Model: residence.Model})
+	n := p.use.Running[Place{r.ID, Artifact{Service: r.Service, Model: residence.Model}}]
 	for adapter := range residence.Adapters {
-		n += p.usage.InUse(r.ID, Artifact{Service: r.Service, Model: residence.Model, Adapter: adapter})
+		n += p.use.Running[Place{r.ID, Artifact{Service: r.Service, Model: residence.Model, Adapter: adapter}}]
 	}
 	return n
 }
@@ -661,7 +692,7 @@
 		if !residence.Ready("", now) || !p.idle(r, now) {
 			continue
 		}
-		cost := p.usage.Queued(r.ID).Seconds()
+		cost := p.use.Queued[r.ID].Seconds()
 		if !p.adapterFits(r, a) {
 			if _, ok := p.oldestAdapter(r, now); !ok {
 				continue
@@ -713,7 +744,7 @@
 	for _, residence := range r.Resident {
 		for name, readyAt := range residence.Adapters {
 			a := Artifact{Service: r.Service, Model: residence.Model, Adapter: name}
-			if readyAt.Add(settleTime).After(now) || p.usage.InUse(r.ID, a) > 0 {
+			if readyAt.Add(settleTime).After(now) || p.use.Running[Place{r.ID, a}] > 0 {
 				continue
 			}
 			value := 0.0
--- a/fleet/machine/placement_test.go
+++ b/fleet/machine/placement_test.go
@@ -169,6 +169,7 @@
 func TestWaitsForTheRunnerWithACopy(t *testing.T) {
 	w := newWorld(2, 8)
 	w.act(w.placer.Plan(true, w.now), func() int { return 9 })
+	w.advance(planPeriod)
 	w.fleet.Get("r0").OnDisk = []contract.ModelName{modelName(2), modelName(3)}
 	w.placer.Observe("n", []Asked{{Artifact: artifact(3, 0), Waiting: 1}}, w.now)
 	w.act(w.placer.Plan(true, w.now), func() int { return 9 })
@@ -192,8 +193,8 @@
 			{Model: modelName(7), ReadyIn: 15 * time.Second},
 		}}, w.now)
 	}
-	if w.placer.mayLoadCold(w.now) {
-		t.Error("six loads from the weight store do not count")
+	if n := w.placer.loadingCold(w.now); n != 6 {
+		t.Errorf("%d of six loads from the weight store count", n)
 	}
 }
 
--- a/node/entry/routing.go
+++ b/node/entry/routing.go
@@ -18,8 +18,9 @@
 
 // Figures of the routing duty.
 const (
-	// tick is the longest pause between two looks at waiting calls, orders and reports.
-	tick = 20 * time.Millisecond
+	// tick is the longest pause between two looks at waiting calls, orders and reports, lookPeriod the shortest.
+	tick       = 20 * time.Millisecond
+	lookPeriod = 6 * time.Millisecond
 	// intakeRing bounds the messages that wait for the routing duty.
 	intakeRing = 4096
 	// messageBatch is the number of messages taken at once.
@@ -37,6 +38,8 @@
 	metrics  *entryMetrics
 	intake   *ring.Ring[message]
 	rand     *rand.Rand
+	looked   clock.Instant
+	due      bool        // messages have come since the last look
 	ready    atomic.Bool // read by the readiness probe
 	stopping bool
 	stopWait clock.Instant // during a planned stop: calls wait for a replica no longer
@@ -82,7 +85,11 @@
 func (r *routing) run(ctx context.Context) {
 	batch := make([]message, messageBatch)
 	for {
-		n, err := r.intake.PopBatchUntil(ctx, time.Now().Add(tick), batch)
+		wait := tick
+		if r.due {
+			wait = lookPeriod
+		}
+		n, err := r.intake.PopBatchUntil(ctx, time.Now().Add(wait), batch)
 		if err != nil {
 			return
 		}
@@ -90,7 +97,10 @@
 		for _, m := range batch[:n] {
 			m.apply(r, now)
 		}
-		r.look(now)
+		if r.due = now.Sub(r.looked) < lookPeriod; !r.due {
+			r.looked = now
+			r.look(now)
+		}
 	}
 }
 
