--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 all: build
 
 build:
-	go build -o bin/ ./cmd/mangopassd ./cmd/mangopass ./standin/cmd/...
+	go build -o bin/ ./cmd/mangopassd ./cmd/mangopass ./standin/cmd/standin ./standin/cmd/demo
 
 # The packages with rapid tests take the seed; rapid's flags are unknown to the others.
 RAPID := $(shell grep -rl --include='*_test.go' 'pgregory.net/rapid' $(MODULES) | xargs -r -n1 dirname | sort -u | sed 's,^,./,')
--- a/api/design/design.go
+++ b/api/design/design.go
@@ -7,7 +7,7 @@
 
 var _ = API("mangopass", func() {
 	Title("mangopass")
-	Description("Serving of rarely used models: callers' and operators' endpoints of an entry VM.")
+	Description("Serving of rarely used models: the callers' endpoints of an entry VM.")
 })
 
 var _ = Service("calls", func() {
@@ -15,8 +15,8 @@
 		"fields unknown here reach the engine. Refusals use the OpenAI error envelope.")
 
 	Method("chat", func() {
-		Description("OpenAI-style chat completion. The body's model names a route. With stream set, the answer is a " +
-			"sequence of server-sent events that ends with data: [DONE].")
+		Description("OpenAI-style chat completion. The body's model is ROUTE/MODEL or ROUTE/MODEL/ADAPTER. The answer is " +
+			"what the engine sends; a stream of server-sent events is passed on event by event.")
 		Payload(callPayload)
 		Result(callResult)
 		HTTP(func() {
@@ -58,13 +58,10 @@
 })
 
 var callPayload = Type("CallPayload", func() {
-	Attribute("idempotency_key", String, "Names the call across repeats; required on routes that are not idempotent",
-		func() { MaxLength(200) })
 	Attribute("deadline_ms", Int, "Shortens the route's deadline, in milliseconds", func() { Minimum(1) })
 })
 
 func callHeaders() {
-	Header("idempotency_key:Idempotency-Key")
 	Header("deadline_ms:X-Mangopass-Deadline-Ms")
 }
 
--- a/api/gen/calls/service.go
+++ b/api/gen/calls/service.go
@@ -16,9 +16,9 @@
 // that routing needs, so that fields unknown here reach the engine. Refusals
 // use the OpenAI error envelope.
 type Service interface {
-	// OpenAI-style chat completion. The body's model names a route. With stream
-	// set, the answer is a sequence of server-sent events that ends with data:
-	// [DONE].
+	// OpenAI-style chat completion. The body's model is ROUTE/MODEL or
+	// ROUTE/MODEL/ADAPTER. The answer is what the engine sends; a stream of
+	// server-sent events is passed on event by event.
 
 	// If body implements [io.WriterTo], that implementation will be used instead.
 	// Consider [goa.design/goa/v3/pkg.SkipResponseWriter] to adapt existing
@@ -54,8 +54,6 @@
 
 // CallPayload is the payload type of the calls service chat method.
 type CallPayload struct {
-	// Names the call across repeats; required on routes that are not idempotent
-	IdempotencyKey *string
 	// Shortens the route's deadline, in milliseconds
 	DeadlineMs *int
 }
@@ -72,8 +70,6 @@
 	Route string
 	// Path at the plain service
 	Path string
-	// Names the call across repeats; required on routes that are not idempotent
-	IdempotencyKey *string
 	// Shortens the route's deadline, in milliseconds
 	DeadlineMs *int
 }
--- a/api/gen/http/calls/client/cli.go
+++ b/api/gen/http/calls/client/cli.go
@@ -10,7 +10,6 @@
 import (
 	"fmt"
 	"strconv"
-	"unicode/utf8"
 
 	calls "github.com/mangopass/mangopass/api/gen/calls"
 	goa "goa.design/goa/v3/pkg"
@@ -18,20 +17,8 @@
 
 // BuildChatPayload builds the payload for the calls chat endpoint from CLI
 // flags.
-func BuildChatPayload(callsChatIdempotencyKey string, callsChatDeadlineMs string) (*calls.CallPayload, error) {
+func BuildChatPayload(callsChatDeadlineMs string) (*calls.CallPayload, error) {
 	var err error
-	var idempotencyKey *string
-	{
-		if callsChatIdempotencyKey != "" {
-			idempotencyKey = &callsChatIdempotencyKey
-			if utf8.RuneCountInString(*idempotencyKey) > 200 {
-				err = goa.MergeErrors(err, goa.InvalidLengthError("idempotency_key", *idempotencyKey, utf8.RuneCountInString(*idempotencyKey), 200, false))
-			}
-			if err != nil {
-				return nil, err
-			}
-		}
-	}
 	var deadlineMs *int
 	{
 		if callsChatDeadlineMs != "" {
@@ -51,7 +38,6 @@
 		}
 	}
 	v := &calls.CallPayload{}
-	v.IdempotencyKey = idempotencyKey
 	v.DeadlineMs = deadlineMs
 
 	return v, nil
@@ -59,7 +45,7 @@
 
 // BuildInvokePayload builds the payload for the calls invoke endpoint from CLI
 // flags.
-func BuildInvokePayload(callsInvokeRoute string, callsInvokePath string, callsInvokeIdempotencyKey string, callsInvokeDeadlineMs string) (*calls.InvokePayload, error) {
+func BuildInvokePayload(callsInvokeRoute string, callsInvokePath string, callsInvokeDeadlineMs string) (*calls.InvokePayload, error) {
 	var err error
 	var route string
 	{
@@ -69,18 +55,6 @@
 	{
 		path = callsInvokePath
 	}
-	var idempotencyKey *string
-	{
-		if callsInvokeIdempotencyKey != "" {
-			idempotencyKey = &callsInvokeIdempotencyKey
-			if utf8.RuneCountInString(*idempotencyKey) > 200 {
-				err = goa.MergeErrors(err, goa.InvalidLengthError("idempotency_key", *idempotencyKey, utf8.RuneCountInString(*idempotencyKey), 200, false))
-			}
-			if err != nil {
-				return nil, err
-			}
-		}
-	}
 	var deadlineMs *int
 	{
 		if callsInvokeDeadlineMs != "" {
@@ -102,7 +76,6 @@
 	v := &calls.InvokePayload{}
 	v.Route = route
 	v.Path = path
-	v.IdempotencyKey = idempotencyKey
 	v.DeadlineMs = deadlineMs
 
 	return v, nil
--- a/api/gen/http/calls/client/encode_decode.go
+++ b/api/gen/http/calls/client/encode_decode.go
@@ -53,10 +53,6 @@
 			return goahttp.ErrInvalidType("calls", "chat", "*calls.ChatRequestData", v)
 		}
 		p := data.Payload
-		if p.IdempotencyKey != nil {
-			head := *p.IdempotencyKey
-			req.Header.Set("Idempotency-Key", head)
-		}
 		if p.DeadlineMs != nil {
 			head := *p.DeadlineMs
 			headStr := strconv.Itoa(head)
@@ -156,10 +152,6 @@
 			return goahttp.ErrInvalidType("calls", "invoke", "*calls.InvokeRequestData", v)
 		}
 		p := data.Payload
-		if p.IdempotencyKey != nil {
-			head := *p.IdempotencyKey
-			req.Header.Set("Idempotency-Key", head)
-		}
 		if p.DeadlineMs != nil {
 			head := *p.DeadlineMs
 			headStr := strconv.Itoa(head)
--- a/api/gen/http/calls/server/encode_decode.go
+++ b/api/gen/http/calls/server/encode_decode.go
@@ -11,7 +11,6 @@
 	"context"
 	"net/http"
 	"strconv"
-	"unicode/utf8"
 
 	calls "github.com/mangopass/mangopass/api/gen/calls"
 	goahttp "goa.design/goa/v3/http"
@@ -35,19 +34,9 @@
 	return func(r *http.Request) (*calls.CallPayload, error) {
 		var payload *calls.CallPayload
 		var (
-			idempotencyKey *string
-			deadlineMs     *int
-			err            error
+			deadlineMs *int
+			err        error
 		)
-		idempotencyKeyRaw := r.Header.Get("Idempotency-Key")
-		if idempotencyKeyRaw != "" {
-			idempotencyKey = &idempotencyKeyRaw
-		}
-		if idempotencyKey != nil {
-			if utf8.RuneCountInString(*idempotencyKey) > 200 {
-				err = goa.MergeErrors(err, goa.InvalidLengthError("idempotency_key", *idempotencyKey, utf8.RuneCountInString(*idempotencyKey), 200, false))
-			}
-		}
 		{
 			deadlineMsRaw := r.Header.Get("X-Mangopass-Deadline-Ms")
 			if deadlineMsRaw != "" {
@@ -67,7 +56,7 @@
 		if err != nil {
 			return payload, err
 		}
-		payload = NewChatCallPayload(idempotencyKey, deadlineMs)
+		payload = NewChatCallPayload(deadlineMs)
 
 		return payload, nil
 	}
@@ -90,25 +79,15 @@
 	return func(r *http.Request) (*calls.InvokePayload, error) {
 		var payload *calls.InvokePayload
 		var (
-			route          string
-			path           string
-			idempotencyKey *string
-			deadlineMs     *int
-			err            error
+			route      string
+			path       string
+			deadlineMs *int
+			err        error
 
 			params = mux.Vars(r)
 		)
 		route = params["route"]
 		path = params["path"]
-		idempotencyKeyRaw := r.Header.Get("Idempotency-Key")
-		if idempotencyKeyRaw != "" {
-			idempotencyKey = &idempotencyKeyRaw
-		}
-		if idempotencyKey != nil {
-			if utf8.RuneCountInString(*idempotencyKey) > 200 {
-				err = goa.MergeErrors(err, goa.InvalidLengthError("idempotency_key", *idempotencyKey, utf8.RuneCountInString(*idempotencyKey), 200, false))
-			}
-		}
 		{
 			deadlineMsRaw := r.Header.Get("X-Mangopass-Deadline-Ms")
 			if deadlineMsRaw != "" {
@@ -128,7 +107,7 @@
 		if err != nil {
 			return payload, err
 		}
-		payload = NewInvokePayload(route, path, idempotencyKey, deadlineMs)
+		payload = NewInvokePayload(route, path, deadlineMs)
 
 		return payload, nil
 	}
--- a/api/gen/http/calls/server/types.go
+++ b/api/gen/http/calls/server/types.go
@@ -52,20 +52,18 @@
 }
 
 // NewChatCallPayload builds a calls service chat endpoint payload.
-func NewChatCallPayload(idempotencyKey *string, deadlineMs *int) *calls.CallPayload {
+func NewChatCallPayload(deadlineMs *int) *calls.CallPayload {
 	v := &calls.CallPayload{}
-	v.IdempotencyKey = idempotencyKey
 	v.DeadlineMs = deadlineMs
 
 	return v
 }
 
 // NewInvokePayload builds a calls service invoke endpoint payload.
-func NewInvokePayload(route string, path string, idempotencyKey *string, deadlineMs *int) *calls.InvokePayload {
+func NewInvokePayload(route string, path string, deadlineMs *int) *calls.InvokePayload {
 	v := &calls.InvokePayload{}
 	v.Route = route
 	v.Path = path
-	v.IdempotencyKey = idempotencyKey
 	v.DeadlineMs = deadlineMs
 
 	return v
--- a/api/gen/http/cli/mangopass/cli.go
+++ b/api/gen/http/cli/mangopass/cli.go
@@ -29,7 +29,7 @@
 
 // UsageExamples produces an example of a valid invocation of the CLI tool.
 func UsageExamples() string {
-	return os.Args[0] + " " + "calls chat --idempotency-key \"1hk\" --deadline-ms 4812640739065586500 --stream \"goa.png\"" + "\n" +
+	return os.Args[0] + " " + "calls chat --deadline-ms 8073892071926089368 --stream \"goa.png\"" + "\n" +
 		""
 }
 
@@ -45,17 +45,15 @@
 	var (
 		callsFlags = flag.NewFlagSet("calls", flag.ContinueOnError)
 
-		callsChatFlags              = flag.NewFlagSet("chat", flag.ExitOnError)
-		callsChatIdempotencyKeyFlag = callsChatFlags.String("idempotency-key", "", "")
-		callsChatDeadlineMsFlag     = callsChatFlags.String("deadline-ms", "", "")
-		callsChatStreamFlag         = callsChatFlags.String("stream", "REQUIRED", "path to file containing the streamed request body")
+		callsChatFlags          = flag.NewFlagSet("chat", flag.ExitOnError)
+		callsChatDeadlineMsFlag = callsChatFlags.String("deadline-ms", "", "")
+		callsChatStreamFlag     = callsChatFlags.String("stream", "REQUIRED", "path to file containing the streamed request body")
 
-		callsInvokeFlags              = flag.NewFlagSet("invoke", flag.ExitOnError)
-		callsInvokeRouteFlag          = callsInvokeFlags.String("route", "REQUIRED", "Name of the route")
-		callsInvokePathFlag           = callsInvokeFlags.String("path", "REQUIRED", "Path at the plain service")
-		callsInvokeIdempotencyKeyFlag = callsInvokeFlags.String("idempotency-key", "", "")
-		callsInvokeDeadlineMsFlag     = callsInvokeFlags.String("deadline-ms", "", "")
-		callsInvokeStreamFlag         = callsInvokeFlags.String("stream", "REQUIRED", "path to file containing the streamed request body")
+		callsInvokeFlags          = flag.NewFlagSet("invoke", flag.ExitOnError)
+		callsInvokeRouteFlag      = callsInvokeFlags.String("route", "REQUIRED", "Name of the route")
+		callsInvokePathFlag       = callsInvokeFlags.String("path", "REQUIRED", "Path at the plain service")
+		callsInvokeDeadlineMsFlag = callsInvokeFlags.String("deadline-ms", "", "")
+		callsInvokeStreamFlag     = callsInvokeFlags.String("stream", "REQUIRED", "path to file containing the streamed request body")
 
 		callsModelsFlags = flag.NewFlagSet("models", flag.ExitOnError)
 	)
@@ -134,13 +132,13 @@
 			switch epn {
 			case "chat":
 				endpoint = c.Chat()
-				data, err = callsc.BuildChatPayload(*callsChatIdempotencyKeyFlag, *callsChatDeadlineMsFlag)
+				data, err = callsc.BuildChatPayload(*callsChatDeadlineMsFlag)
 				if err == nil {
 					data, err = callsc.BuildChatStreamPayload(data, *callsChatStreamFlag)
 				}
 			case "invoke":
 				endpoint = c.Invoke()
-				data, err = callsc.BuildInvokePayload(*callsInvokeRouteFlag, *callsInvokePathFlag, *callsInvokeIdempotencyKeyFlag, *callsInvokeDeadlineMsFlag)
+				data, err = callsc.BuildInvokePayload(*callsInvokeRouteFlag, *callsInvokePathFlag, *callsInvokeDeadlineMsFlag)
 				if err == nil {
 					data, err = callsc.BuildInvokeStreamPayload(data, *callsInvokeStreamFlag)
 				}
@@ -161,7 +159,7 @@
 	fmt.Fprintln(os.Stderr, `The callers' endpoints. Bodies pass through unread except for the fields that routing needs, so that fields unknown here reach the engine. Refusals use the OpenAI error envelope.`)
 	fmt.Fprintf(os.Stderr, "Usage:\n    %s [globalflags] calls COMMAND [flags]\n\n", os.Args[0])
 	fmt.Fprintln(os.Stderr, "COMMAND:")
-	fmt.Fprintln(os.Stderr, `    chat: OpenAI-style chat completion. The body's model names a route. With stream set, the answer is a sequence of server-sent events that ends with data: [DONE].`)
+	fmt.Fprintln(os.Stderr, `    chat: OpenAI-style chat completion. The body's model is ROUTE/MODEL or ROUTE/MODEL/ADAPTER. The answer is what the engine sends; a stream of server-sent events is passed on event by event.`)
 	fmt.Fprintln(os.Stderr, `    invoke: A call to a plain service. The route decides whether the call may be repeated.`)
 	fmt.Fprintln(os.Stderr, `    models: Lists the routes that the caller's organisation may use, as OpenAI model objects.`)
 	fmt.Fprintln(os.Stderr)
@@ -171,23 +169,21 @@
 func callsChatUsage() {
 	// Header with flags
 	fmt.Fprintf(os.Stderr, "%s [flags] calls chat", os.Args[0])
-	fmt.Fprint(os.Stderr, " -idempotency-key STRING")
 	fmt.Fprint(os.Stderr, " -deadline-ms INT")
 	fmt.Fprint(os.Stderr, " -stream STRING")
 	fmt.Fprintln(os.Stderr)
 
 	// Description
 	fmt.Fprintln(os.Stderr)
-	fmt.Fprintln(os.Stderr, `OpenAI-style chat completion. The body's model names a route. With stream set, the answer is a sequence of server-sent events that ends with data: [DONE].`)
+	fmt.Fprintln(os.Stderr, `OpenAI-style chat completion. The body's model is ROUTE/MODEL or ROUTE/MODEL/ADAPTER. The answer is what the engine sends; a stream of server-sent events is passed on event by event.`)
 
 	// Flags list
-	fmt.Fprintln(os.Stderr, `    -idempotency-key STRING: `)
 	fmt.Fprintln(os.Stderr, `    -deadline-ms INT: `)
 	fmt.Fprintln(os.Stderr, `    -stream STRING: path to file containing the streamed request body`)
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "calls chat --idempotency-key \"1hk\" --deadline-ms 4812640739065586500 --stream \"goa.png\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "calls chat --deadline-ms 8073892071926089368 --stream \"goa.png\"")
 }
 
 func callsInvokeUsage() {
@@ -195,7 +191,6 @@
 	fmt.Fprintf(os.Stderr, "%s [flags] calls invoke", os.Args[0])
 	fmt.Fprint(os.Stderr, " -route STRING")
 	fmt.Fprint(os.Stderr, " -path STRING")
-	fmt.Fprint(os.Stderr, " -idempotency-key STRING")
 	fmt.Fprint(os.Stderr, " -deadline-ms INT")
 	fmt.Fprint(os.Stderr, " -stream STRING")
 	fmt.Fprintln(os.Stderr)
@@ -207,13 +202,12 @@
 	// Flags list
 	fmt.Fprintln(os.Stderr, `    -route STRING: Name of the route`)
 	fmt.Fprintln(os.Stderr, `    -path STRING: Path at the plain service`)
-	fmt.Fprintln(os.Stderr, `    -idempotency-key STRING: `)
 	fmt.Fprintln(os.Stderr, `    -deadline-ms INT: `)
 	fmt.Fprintln(os.Stderr, `    -stream STRING: path to file containing the streamed request body`)
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "calls invoke --route \"Qui id dolores non qui.\" --path \"Distinctio porro.\" --idempotency-key \"sr5\" --deadline-ms 2693705295436279108 --stream \"goa.png\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "calls invoke --route \"Tempore sequi commodi sit eligendi voluptas voluptate.\" --path \"Incidunt non quia ipsa eos voluptas et.\" --deadline-ms 861597177698059286 --stream \"goa.png\"")
 }
 
 func callsModelsUsage() {
--- a/cmd/mangopass/main.go
+++ b/cmd/mangopass/main.go
@@ -1,4 +1,151 @@
-// Command mangopass is the operators' command.
+// Command mangopass is the operators' command: status of an entry VM, and the explanation of a request from logs.
+//
+// Exit codes: 0 on success, 1 if the VM does not answer or the request is not in the logs, 2 on faulty arguments.
 package main
 
-func main() {}
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jessevdk/go-flags"
+
+	"github.com/mangopass/mangopass/node/entry"
+	"github.com/mangopass/mangopass/node/explain"
+)
+
+// Exit codes.
+const (
+	exitFailed    = 1
+	exitArguments = 2
+)
+
+const statusTimeout = 5 * time.Second
+
+type statusCommand struct {
+	JSON       bool `long:"json" description:"print JSON"`
+	Positional struct {
+		Address string `positional-arg-name:"ADDRESS" description:"IP:port of the VM's metrics listener"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+type explainCommand struct {
+	JSON       bool `long:"json" description:"print JSON"`
+	Positional struct {
+		Request string   `positional-arg-name:"REQUEST_ID"`
+		Files   []string `positional-arg-name:"FILE" description:"log files of the entry VMs; none: standard input"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *statusCommand) Execute([]string) error {
+	client := &http.Client{Timeout: statusTimeout}
+	resp, err := client.Get("http://" + c.Positional.Address + "/status")
+	if err != nil {
+		return errors.Wrap(err, "status")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return errors.Newf("status: %s answered with status %d", c.Positional.Address, resp.StatusCode)
+	}
+	var s entry.Status
+	if err := json.NewDecoder(resp.Body).Decode(&s); err != nil {
+		return errors.Wrap(err, "status")
+	}
+	if c.JSON {
+		return printJSON(s)
+	}
+	fmt.Printf("%s: ready %v, stopping %v, manifest %d (proved %d ms ago), planner %s, %d requests waiting, shards %v\n",
+		s.Node, s.Ready, s.Stopping, s.Manifest, s.ManifestAgeMs, s.Planner, s.Waiting, s.Shards)
+	for _, p := range s.Peers {
+		fmt.Printf("peer %s: heard %d ms ago, stopping %v\n", p.Node, p.HeardMs, p.Stopping)
+	}
+	for _, r := range s.Runners {
+		fmt.Printf("runner %s (%s, %s): usable %v, avoided %v, %d ms queued, models %v\n", r.ID, r.Service, r.Zone, r.Usable, r.Avoided, r.QueuedMs, r.Models)
+	}
+	return nil
+}
+
+// Execute implements flags.Commander.
+func (c *explainCommand) Execute([]string) error {
+	lines, err := readLogs(c.Positional.Files)
+	if err != nil {
+		return err
+	}
+	story, err := explain.Tell(lines, c.Positional.Request)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return printJSON(story)
+	}
+	return story.Write(os.Stdout)
+}
+
+func readLogs(files []string) ([]explain.Line, error) {
+	if len(files) == 0 {
+		return explain.Read(os.Stdin)
+	}
+	var lines []explain.Line
+	for _, name := range files {
+		of, err := readLog(name)
+		if err != nil {
+			return nil, err
+		}
+		lines = append(lines, of...)
+	}
+	return lines, nil
+}
+
+func readLog(name string) ([]explain.Line, error) {
+	f, err := os.Open(name)
+	if err != nil {
+		return nil, errors.Wrap(err, "open log")
+	}
+	defer func() { _ = f.Close() }()
+	lines, err := explain.Read(io.Reader(f))
+	return lines, errors.Wrap(err, name)
+}
+
+func printJSON(v any) error {
+	out := json.NewEncoder(os.Stdout)
+	out.SetIndent("", "  ")
+	return errors.Wrap(out.Encode(v), "write")
+}
+
+func main() {
+	parser := flags.NewParser(nil, flags.HelpFlag|flags.PassDoubleDash)
+	for _, c := range []struct {
+		name, what string
+		command    any
+	}{
+		{"status", "show what an entry VM believes", &statusCommand{}},
+		{"explain", "tell the life of a request from logs", &explainCommand{}},
+	} {
+		if _, err := parser.AddCommand(c.name, c.what, c.what, c.command); err != nil {
+			panic(err)
+		}
+	}
+	_, err := parser.Parse()
+	os.Exit(exitCode(err))
+}
+
+func exitCode(err error) int {
+	var usage *flags.Error
+	switch {
+	case err == nil:
+		return 0
+	case !errors.As(err, &usage):
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	case usage.Type == flags.ErrHelp:
+		fmt.Println(err)
+		return 0
+	}
+	fmt.Fprintln(os.Stderr, err)
+	return exitArguments
+}
--- a/cmd/processtest/check_test.go
+++ b/cmd/processtest/check_test.go
@@ -16,7 +16,14 @@
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	out, err := exec.Command(filepath.Join(binaries, "mangopassd"), "check", "--settings", path).CombinedOutput()
+	return program("mangopassd", "check", "--settings", path)
+}
+
+// mangopass runs the operators' command.
+func mangopass(args ...string) (string, int) { return program("mangopass", args...) }
+
+func program(name string, args ...string) (string, int) {
+	out, err := exec.Command(filepath.Join(binaries, name), args...).CombinedOutput()
 	var exit *exec.ExitError
 	if errors.As(err, &exit) {
 		return string(out), exit.ExitCode()
--- a/cmd/processtest/path_test.go
+++ b/cmd/processtest/path_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
+	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
@@ -358,6 +360,83 @@
 	}
 }
 
+// TestAPI guards the product's own front end: it takes the same decisions as the platform's, and answers refusals in its
+// own form.
+func TestAPI(t *testing.T) {
+	d := start(t)
+	ask := func(method, path, key, body string) (int, string) {
+		req, err := http.NewRequestWithContext(t.Context(), method, "http://"+d.Entries[0].API+path, strings.NewReader(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header.Set("Content-Type", "application/json")
+		req.Header.Set("Authorization", "Bearer "+key)
+		resp, err := fresh.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = resp.Body.Close() }()
+		data, err := io.ReadAll(resp.Body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return resp.StatusCode, string(data)
+	}
+	status, body := ask("POST", "/v1/chat/completions", callerKey, `{"model":"chat/tulip","stream":true,"max_tokens":20,"x":1}`)
+	if status != http.StatusOK {
+		t.Fatalf("chat: %d %s", status, body)
+	}
+	wantEvents(t, body, 12)
+	status, body = ask("POST", "/v1/services/confirm/orders/1", callerKey, "{}")
+	if status != http.StatusOK || !strings.Contains(body, "answers") {
+		t.Errorf("invoke: %d %s", status, body)
+	}
+	status, body = ask("GET", "/v1/models", callerKey, "")
+	if status != http.StatusOK || !strings.Contains(body, `"chat"`) {
+		t.Errorf("models: %d %s", status, body)
+	}
+	for _, c := range []struct {
+		path, key, body, code string
+		want                  int
+	}{
+		{"/v1/chat/completions", "other", `{"model":"chat/tulip"}`, "invalid_key", http.StatusUnauthorized},
+		{"/v1/chat/completions", callerKey, `{"model":"tulip"}`, "invalid_request", http.StatusBadRequest},
+		{"/v1/chat/completions", callerKey, `{"model":"none/tulip"}`, "route_not_found", http.StatusNotFound},
+	} {
+		if status, body := ask("POST", c.path, c.key, c.body); status != c.want || !strings.Contains(body, c.code) {
+			t.Errorf("%s: %d %s", c.body, status, body)
+		}
+	}
+}
+
+// TestCommands guards the operators' command: status of a VM, the story of a request, and exit codes.
+func TestCommands(t *testing.T) {
+	d := start(t)
+	_ = call(t, t.Context(), d.Entries[0].Callers, ask{method: "POST", path: "/draft/x", model: "rose", id: "story", deadlineMs: 8000})
+	time.Sleep(100 * time.Millisecond) // for the log
+	logs := filepath.Join(t.TempDir(), "log")
+	if err := os.WriteFile(logs, []byte(d.Entries[0].Log()+d.Entries[1].Log()), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		args []string
+		code int
+		want string
+	}{
+		{[]string{"status", d.Entries[0].Metrics}, 0, "manifest 1"},
+		{[]string{"status", "--json", d.Entries[0].Metrics}, 0, `"planner"`},
+		{[]string{"explain", "story", logs}, 0, "Served by runner"},
+		{[]string{"explain", "none", logs}, 1, "no log line"},
+		{[]string{"explain"}, 2, "REQUEST_ID"},
+		{[]string{"status", "127.0.0.1:1"}, 1, "status"},
+	} {
+		out, code := mangopass(c.args...)
+		if code != c.code || !strings.Contains(out, c.want) {
+			t.Errorf("%v: exit code %d, output %s", c.args, code, out)
+		}
+	}
+}
+
 // TestReload guards against a SIGHUP that ends the process, and against a faulty file that replaces good settings.
 func TestReload(t *testing.T) {
 	d := start(t)
--- a/fleet/contract/manifest.go
+++ b/fleet/contract/manifest.go
@@ -136,6 +136,15 @@
 	return nil
 }
 
+// Routes returns all routes in no particular order.
+func (m *Manifest) Routes() []*Route {
+	var out []*Route
+	for _, of := range m.routes {
+		out = append(out, of...)
+	}
+	return out
+}
+
 // Owner returns the organisation that holds a key, or nil.
 func (m *Manifest) Owner(k KeyHash) *Organisation { return m.owners[k] }
 
--- a/node/entry/callers.go
+++ b/node/entry/callers.go
@@ -40,7 +40,9 @@
 		platform.WriteRefusal(w, "", refusal)
 		return
 	}
-	x := &exchange{callers: h, w: w, payload: call, call: newCall(r.Context(), &call.Request)}
+	x := &exchange{
+		callers: h, w: w, payload: call, call: newCall(r.Context(), &call.Request), writeRefusal: platform.WriteRefusal,
+	}
 	x.serve()
 }
 
@@ -55,6 +57,9 @@
 	payload *platform.Call
 	call    *call
 
+	// writeRefusal answers in the form of the front end that took the request.
+	writeRefusal func(w http.ResponseWriter, id string, refusal *contract.Refusal)
+
 	headWritten bool
 	lastEvent   string // id of the last event passed on
 	flusher     *http.ResponseController
@@ -62,7 +67,7 @@
 
 func (x *exchange) serve() {
 	if !x.routing.TryPush(arrived{call: x.call}) {
-		platform.WriteRefusal(x.w, x.payload.ID, contract.Refuse(contract.Overloaded, time.Second, "too many requests are waiting"))
+		x.writeRefusal(x.w, x.payload.ID, contract.Refuse(contract.Overloaded, time.Second, "too many requests are waiting"))
 		return
 	}
 	for {
@@ -113,7 +118,7 @@
 	if x.headWritten {
 		panic(http.ErrAbortHandler) // part of an answer has gone out; only a broken connection shows that it is not whole
 	}
-	platform.WriteRefusal(x.w, x.payload.ID, refusal)
+	x.writeRefusal(x.w, x.payload.ID, refusal)
 }
 
 // attempt sends the request to a runner and passes the answer on.
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -126,14 +126,19 @@
 	})
 	status := http.NewServeMux()
 	status.Handle("GET /metrics", metrics.Handler(registry))
+	status.HandleFunc("GET /status", e.serveStatus)
 	for _, l := range []struct {
 		name, address string
 		handler       http.Handler
 	}{
 		{"metrics", e.settings.Metrics(), status},
 		{"ready", e.settings.Listen.Ready, http.HandlerFunc(e.probe)},
+		{"api", e.settings.Listen.API, newAPI(e.callers)},
 		{"callers", e.settings.Listen.Callers, e.callers},
 	} {
+		if l.address == "" {
+			continue
+		}
 		if err := e.serve(l.name, l.address, l.handler); err != nil {
 			return err
 		}
--- /dev/null
+++ b/node/entry/status.go
@@ -0,0 +1,103 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/mangopass/mangopass/duty/clock"
+	"github.com/mangopass/mangopass/duty/ring"
+	"github.com/mangopass/mangopass/fleet/contract"
+)
+
+// statusTimeout bounds the routing duty's answer to a status query.
+const statusTimeout = 2 * time.Second
+
+// Status is what an entry VM believes, for operators.
+type Status struct {
+	Node          string         `json:"node"`
+	Ready         bool           `json:"ready"`
+	Stopping      bool           `json:"stopping"`
+	Manifest      int64          `json:"manifest"`
+	ManifestAgeMs int64          `json:"manifest_age_ms"` // age of the proof that it is the newest
+	Planner       string         `json:"planner"`
+	Waiting       int            `json:"waiting"` // requests that wait for a replica
+	Shards        []int          `json:"shards"`  // whose orders this VM gives
+	Peers         []PeerStatus   `json:"peers"`
+	Runners       []RunnerStatus `json:"runners"`
+}
+
+// PeerStatus is another entry VM.
+type PeerStatus struct {
+	Node     string `json:"node"`
+	HeardMs  int64  `json:"heard_ms"` // since its last report
+	Stopping bool   `json:"stopping"`
+}
+
+// RunnerStatus is a runner.
+type RunnerStatus struct {
+	ID       string               `json:"id"`
+	Service  string               `json:"service"`
+	Zone     string               `json:"zone"`
+	Usable   bool                 `json:"usable"`
+	Avoided  bool                 `json:"avoided"` // because of failed answers
+	QueuedMs int64                `json:"queued_ms"`
+	Models   []contract.ModelName `json:"models"`
+}
+
+// statusQuery asks the routing duty what it believes.
+type statusQuery struct{ reply *ring.Ring[Status] }
+
+// apply answers the query.
+func (q statusQuery) apply(r *routing, now clock.Instant) {
+	use := r.table.Use()
+	s := Status{
+		Node: r.node, Ready: r.isReady(now), Stopping: r.stopping, Manifest: r.version(),
+		ManifestAgeMs: r.freshness.Age(now).Milliseconds(), Planner: r.members.planner, Waiting: len(r.waiting),
+		Shards: []int{}, Peers: []PeerStatus{}, Runners: []RunnerStatus{},
+	}
+	for k := range r.giver.shards {
+		if r.giver.shards[k].tenure.Holds(now) {
+			s.Shards = append(s.Shards, k)
+		}
+	}
+	for name, p := range r.members.peers {
+		s.Peers = append(s.Peers, PeerStatus{Node: name, HeardMs: now.Sub(p.heard).Milliseconds(), Stopping: p.stopping})
+	}
+	slices.SortFunc(s.Peers, func(a, b PeerStatus) int {
+		if a.Node < b.Node {
+			return -1
+		}
+		return 1
+	})
+	for _, runner := range r.fleet.All() {
+		status := RunnerStatus{
+			ID: string(runner.ID), Service: string(runner.Service), Zone: string(runner.Zone), Usable: runner.Usable(now),
+			Avoided: r.table.To(runner).Avoided(now), QueuedMs: use.Queued[runner.ID].Milliseconds(), Models: []contract.ModelName{},
+		}
+		for m := range runner.Resident {
+			status.Models = append(status.Models, m)
+		}
+		slices.Sort(status.Models)
+		s.Runners = append(s.Runners, status)
+	}
+	q.reply.TryPush(s)
+}
+
+// serveStatus answers GET /status.
+func (e *Entry) serveStatus(w http.ResponseWriter, req *http.Request) {
+	q := statusQuery{reply: ring.New[Status]("status", 1)}
+	buf := make([]Status, 1)
+	if !e.routing.intake.TryPush(q) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	n, err := q.reply.PopBatchUntil(req.Context(), time.Now().Add(statusTimeout), buf)
+	if err != nil || n == 0 {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(buf[0]) // a caller that has gone away needs no answer
+}
--- /dev/null
+++ b/node/explain/explain_test.go
@@ -0,0 +1,49 @@
+package explain
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+)
+
+const log = `noise
+   0.1 n1 {"time":"2026-01-01T00:00:00.1Z","msg":"waiting","node":"n1","request":"q","model":"m","patience_ms":900,"planner":"n2"}
+{"time":"2026-01-01T00:00:00.2Z","msg":"order","node":"n2","runner":"r","kind":"load","model":"m","outcome":"unknown","cause":"timeout"}
+{"time":"2026-01-01T00:00:00.25Z","msg":"order","node":"n2","runner":"r","kind":"load","model":"other","outcome":"accepted"}
+{"time":"2026-01-01T00:00:01.0Z","msg":"refused","node":"n1","request":"q","code":"no_replica","detail":"no runner holds the model","waited_ms":900}
+{"time":"2026-01-01T00:00:00.3Z","msg":"sent","node":"n1","request":"p","runner":"r","attempt":1}
+{"time":"2026-01-01T00:00:00.4Z","msg":"ended","node":"n1","request":"p","runner":"r","result":"served","took_ms":100,"final":true}
+`
+
+// TestTell guards the way from a request's id to its cause: the steps of all nodes in order, the orders for its model and
+// no others, and the reason at the end.
+func TestTell(t *testing.T) {
+	lines, err := Read(strings.NewReader(log))
+	if err != nil {
+		t.Fatal(err)
+	}
+	story, err := Tell(lines, "q")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out strings.Builder
+	if err := story.Write(&out); err != nil {
+		t.Fatal(err)
+	}
+	text := out.String()
+	if len(story.Steps) != 3 || story.Steps[1].AfterMs != 100 || strings.Contains(text, "other") {
+		t.Errorf("story:\n%s", text)
+	}
+	for _, want := range []string{"waits up to 900 ms", "load m: unknown (timeout)", "cause: Refused with no_replica"} {
+		if !strings.Contains(text, want) {
+			t.Errorf("%q is missing in\n%s", want, text)
+		}
+	}
+	if story, _ := Tell(lines, "p"); !strings.HasPrefix(story.Cause, "Served by runner r in attempt 1") {
+		t.Errorf("cause %q", story.Cause)
+	}
+	if _, err := Tell(lines, "none"); !errors.Is(err, ErrNotFound) {
+		t.Errorf("error %v", err)
+	}
+}
