Let a restarted VM take its own terms back

Change: a VM whose key names its own earlier process replaces the key at once, without a pause, since it gave the last orders itself; a lapsed shard is left to its last holder for 0.8 s. A holder is named by node and address. The fence is the revision of the holder's key. TestRestartTakesOwnTermBack fails without it.

--- a/fleet/machine/placement_test.go
+++ b/fleet/machine/placement_test.go
@@ -36,7 +36,7 @@
 	for i := range runners {
 		id := RunnerID(fmt.Sprint("r", i))
 		w.engines[id] = &engine{id: id, boot: 1, spec: service.Engine, held: map[contract.ModelName][]contract.AdapterName{
-			modelName(i % models): nil,
+			modelName(4 * i % models): nil, modelName((4*i + 2) % models): nil, // two large ones, which leave no room for a third
 		}}
 		w.announce(w.engines[id])
 	}
@@ -152,6 +152,7 @@
 // and orders that expect that number are refused as conflicts.
 func TestHeartbeatsAreNotOrders(t *testing.T) {
 	w := newWorld(1, 4)
+	clear(w.engines["r0"].held)
 	w.act(w.placer.Plan(true, w.now), func() int { return 9 })
 	for range 9 {
 		w.advance(1200 * time.Millisecond)
@@ -168,6 +169,9 @@
 // from the weight store.
 func TestWaitsForTheRunnerWithACopy(t *testing.T) {
 	w := newWorld(2, 8)
+	for _, e := range w.engines {
+		clear(e.held)
+	}
 	w.act(w.placer.Plan(true, w.now), func() int { return 9 })
 	w.advance(planPeriod)
 	w.fleet.Get("r0").OnDisk = []contract.ModelName{modelName(2), modelName(3)}
@@ -206,6 +210,7 @@
 func TestWishIsChecked(t *testing.T) {
 	w := newWorld(1, 4)
 	w.act(w.placer.Plan(false, w.now), func() int { return 9 })
+	w.advance(settleTime)
 	wish := Wish{Runner: "r0", Boot: 1, Model: modelName(1)}
 	if plan := w.placer.Grant(Wish{Runner: "r0", Boot: 7, Model: modelName(1)}, w.now); len(plan.Orders) != 0 {
 		t.Error("a wish for an earlier start of the runner is granted")
--- a/node/entry/giver.go
+++ b/node/entry/giver.go
@@ -26,12 +26,14 @@
 
 // shard is what this VM knows of one shard's order giver.
 type shard struct {
-	tenure machine.Tenure
-	live   *atomic.Bool // read by the order duties; cleared when the term ends
-	holder ownChange    // the holder's key as last seen
-	owner  string       // the node that it names; empty: none
-	last   ownChange    // the last term's key as last seen; its revision is that term's fence
-	before ownChange    // the same when this VM sent its claim, which succeeds only if nothing has changed
+	tenure    machine.Tenure
+	live      *atomic.Bool // read by the order duties; cleared when the term ends
+	holder    ownChange    // the holder's key as last seen
+	owner     string       // the node that it names; empty: none
+	ownerBoot int64
+	ownedHere bool      // the owner is this VM, in this process or an earlier one
+	last      ownChange // the last term's key as last seen; its revision is that term's fence
+	before    ownChange // the same when this VM sent its claim, which succeeds only if nothing has changed
 
 	endedFence    int64 // this VM's own last term
 	endedAt       clock.Instant
@@ -82,7 +84,7 @@
 	taken, quiet := now, r.rules.Lease()
 	var last holderEntry
 	switch {
-	case s.before.value == nil || json.Unmarshal(s.before.value, &last) == nil && last.Node == r.node:
+	case s.before.value == nil || json.Unmarshal(s.before.value, &last) == nil && r.own(last):
 		quiet = 0
 	case s.releasedFence == s.before.revision:
 		taken = s.releasedAt
--- a/node/entry/lease.go
+++ b/node/entry/lease.go
@@ -120,15 +120,15 @@
 		}
 		return
 	}
-	value := marshal(holderEntry{Node: l.node, Boot: l.entry.Boot})
+	value := marshal(holderEntry{Node: l.node, Address: l.entry.Address, Boot: l.entry.Boot})
 	revision, outcome, err := l.store.Commit(ctx, platform.Txn{
-		Conditions: []platform.Condition{{Key: key}, {Key: keyLast(c.shard), Revision: c.lastRevision}},
+		Conditions: []platform.Condition{{Key: key, Revision: c.holderRevision}, {Key: keyLast(c.shard), Revision: c.lastRevision}},
 		Writes:     []platform.Write{{Key: key, Value: value, Lease: l.id}, {Key: keyLast(c.shard), Value: value}},
 	})
 	l.log.Info("claim", "shard", c.shard, "outcome", outcome.String(), "fence", revision)
 	switch outcome {
 	case platform.Applied:
-		taken := ownChange{key: key, value: value, revision: revision, created: revision}
+		taken := ownChange{key: key, value: value, revision: revision}
 		_ = l.routing.Push(ctx, claimed{shard: c.shard, change: taken})
 	case platform.Conflict:
 	default:
--- a/node/entry/message.go
+++ b/node/entry/message.go
@@ -123,7 +123,6 @@
 	key      string
 	value    []byte
 	revision int64
-	created  int64
 	gone     bool
 }
 
--- a/node/entry/routing_test.go
+++ b/node/entry/routing_test.go
@@ -27,7 +27,7 @@
 }
 
 func newBench() *bench {
-	s := &settings.Entry{ID: "n1", Zone: "z", Zones: map[zoneID]regionID{"z": "r"}, Rules: settings.Rules{
+	s := &settings.Entry{ID: "n1", IP: "10.0.0.1", Ports: []int{7600, 7615}, Zone: "z", Zones: map[zoneID]regionID{"z": "r"}, Rules: settings.Rules{
 		RevokeMs: 5000, LeaseMs: 3000, RetryRatio: 0.2, RetryExtra: 50, RetryWindowS: 10, GraceS: 8, QuotaWindowS: 8,
 	}}
 	b := &bench{routing: newRouting(s, 1, slog.New(slog.DiscardHandler), newMetrics(prometheus.NewRegistry())), now: t0}
@@ -279,8 +279,8 @@
 	b := newBench()
 	b.serve()
 	b.apply(leaseRenewed{until: b.now.Add(3 * time.Second)})
-	value := marshal(holderEntry{Node: "n1", Boot: 1})
-	b.apply(claimed{shard: 3, change: ownChange{value: value, revision: 5, created: 5}})
+	value := marshal(holderEntry{Node: "n1", Address: "10.0.0.1:7600", Boot: 1})
+	b.apply(claimed{shard: 3, change: ownChange{value: value, revision: 5}})
 	if !b.giver.shards[3].tenure.MayOrder(b.now) {
 		t.Fatal("no term")
 	}
@@ -301,9 +301,9 @@
 	b := newBench()
 	b.serve()
 	other := marshal(holderEntry{Node: "n2", Boot: 1})
-	own := marshal(holderEntry{Node: "n1", Boot: 1})
+	own := marshal(holderEntry{Node: "n1", Address: "10.0.0.1:7600", Boot: 1})
 	b.apply(leaseRenewed{until: b.now.Add(3 * time.Second)})
-	b.apply(storeChanged{sent: b.now, own: []ownChange{{key: keyLast(2), value: other, revision: 4, created: 4}}})
+	b.apply(storeChanged{sent: b.now, own: []ownChange{{key: keyLast(2), value: other, revision: 4}}})
 	b.giver.listed = true
 	for range 40 { // until the claim is due
 		b.now = b.now.Add(100 * time.Millisecond)
@@ -311,7 +311,7 @@
 		b.considerTerms(b.now)
 	}
 	b.apply(storeChanged{sent: b.now, own: []ownChange{
-		{key: keyHolder(2), value: own, revision: 9, created: 9}, {key: keyLast(2), value: own, revision: 9, created: 4},
+		{key: keyHolder(2), value: own, revision: 9}, {key: keyLast(2), value: own, revision: 9},
 	}})
 	tenure := &b.giver.shards[2].tenure
 	if !tenure.Holds(b.now) || tenure.MayOrder(b.now.Add(2*time.Second)) {
@@ -331,8 +331,29 @@
 	s := &b.giver.shards[2]
 	s.before = ownChange{value: marshal(holderEntry{Node: "n2", Boot: 1}), revision: 4}
 	s.releasedFence, s.releasedAt = 4, b.now.Add(-2*time.Second)
-	b.apply(claimed{shard: 2, change: ownChange{value: marshal(holderEntry{Node: "n1", Boot: 1}), revision: 9, created: 9}})
+	b.apply(claimed{shard: 2, change: ownChange{value: marshal(holderEntry{Node: "n1", Address: "10.0.0.1:7600", Boot: 1}), revision: 9}})
 	if s.tenure.MayOrder(b.now.Add(900*time.Millisecond)) || !s.tenure.MayOrder(b.now.Add(1100*time.Millisecond)) {
 		t.Error("the pause does not count from the last order")
 	}
 }
+
+// TestRestartTakesOwnTermBack guards a VM whose process was killed: its key still stands in the store, and orders go on
+// without a pause, since nobody else has given any.
+func TestRestartTakesOwnTermBack(t *testing.T) {
+	b := newBench()
+	b.serve()
+	b.apply(leaseRenewed{until: b.now.Add(3 * time.Second)})
+	former := marshal(holderEntry{Node: "n1", Address: "10.0.0.1:7600", Boot: 0})
+	b.apply(storeChanged{sent: b.now, complete: true, own: []ownChange{
+		{key: keyHolder(2), value: former, revision: 4}, {key: keyLast(2), value: former, revision: 4},
+	}})
+	b.considerTerms(b.now)
+	c, err := b.giver.claims.Pop(t.Context())
+	if err != nil || c.shard != 2 || c.holderRevision != 4 || c.lastRevision != 4 {
+		t.Fatalf("claim %+v, error %v", c, err)
+	}
+	b.apply(claimed{shard: 2, change: ownChange{value: marshal(holderEntry{Node: "n1", Address: "10.0.0.1:7600", Boot: 1}), revision: 9}})
+	if tenure := &b.giver.shards[2].tenure; !tenure.MayOrder(b.now) || tenure.Term().Fence != 9 {
+		t.Errorf("tenure %+v", tenure)
+	}
+}
--- a/node/entry/terms.go
+++ b/node/entry/terms.go
@@ -20,16 +20,22 @@
 	claimStagger = 150 * time.Millisecond
 	// claimExtra delays the claims of a VM that holds its part of the shards already.
 	claimExtra = 600 * time.Millisecond
+	// lastHolderFirst is the time that a living last holder has to claim its shard again.
+	lastHolderFirst = 800 * time.Millisecond
 	// claimPause is the time between two claims of one VM to one shard.
 	claimPause = 700 * time.Millisecond
 )
 
 // holderEntry is the value of a shard's keys.
 type holderEntry struct {
-	Node string `json:"node"`
-	Boot int64  `json:"boot"`
+	Node    string `json:"node"`
+	Address string `json:"address"` // IP:port for reports; a VM that replaces another may bear its name
+	Boot    int64  `json:"boot"`
 }
 
+// own reports whether this VM, in this process or an earlier one, is the holder.
+func (r *routing) own(e holderEntry) bool { return e.Node == r.node && e.Address == r.address }
+
 // claim asks the lease duty to take or to give up the holder's key of a shard.
 type claim struct {
 	shard          machine.Shard
@@ -68,9 +74,10 @@
 		r.log.Error("holder entry rejected", "shard", k, "error", err.Error())
 		return
 	}
-	s.owner = e.Node
-	if e.Node == r.node && e.Boot == r.boot {
-		r.beginTerm(k, c.created, now)
+	s.owner, s.ownerBoot = e.Node, e.Boot
+	s.ownedHere = r.own(e)
+	if s.ownedHere && e.Boot == r.boot {
+		r.beginTerm(k, c.revision, now)
 		return
 	}
 	r.endTerm(k, "another VM took the term", now)
@@ -84,7 +91,7 @@
 		switch {
 		case s.tenure.Term().Fence != 0 && !s.tenure.Holds(now):
 			r.endTerm(machine.Shard(k), "lease ran out", now)
-		case s.tenure.Term().Fence == 0 && s.owner == r.node && !s.holder.gone:
+		case s.tenure.Term().Fence == 0 && s.ownedHere && s.ownerBoot == r.boot && !s.holder.gone:
 			r.takeHolder(machine.Shard(k), s.holder, now) // the lease was renewed after it had seemed to run out
 		}
 	}
@@ -92,28 +99,46 @@
 		return
 	}
 	for k := range g.shards {
-		if s := &g.shards[k]; s.holder.gone {
+		if s := &g.shards[k]; s.holder.gone || s.ownedHere && s.ownerBoot != r.boot {
 			r.considerClaim(machine.Shard(k), s, now)
 		}
 	}
 }
 
+// considerClaim claims a shard without a holder, or one whose key still names this VM's process before its restart.
 func (r *routing) considerClaim(k machine.Shard, s *shard, now clock.Instant) {
 	if s.vacant == 0 {
 		s.vacant = now
-		s.claimAt = now.Add(time.Duration(r.rank(k)) * claimStagger)
-		if s.last.value == nil {
-			s.claimAt = s.claimAt.Add(settleMembers)
-		}
-		if part := (machine.Shards + r.members.count() - 1) / r.members.count(); r.giver.held(now) >= part {
-			s.claimAt = s.claimAt.Add(claimExtra)
-		}
+		s.claimAt = now.Add(r.claimDelay(k, s, now))
 	}
 	if now.Before(s.claimAt) {
 		return
 	}
 	s.claimAt, s.before = now.Add(claimPause), s.last
-	r.giver.claims.TryPush(claim{shard: k, lastRevision: s.last.revision})
+	c := claim{shard: k, lastRevision: s.last.revision}
+	if !s.holder.gone {
+		c.holderRevision = s.holder.revision
+	}
+	r.giver.claims.TryPush(c)
+}
+
+// claimDelay returns how long this VM leaves a shard to others. The last holder goes first, since it needs no pause after
+// its own orders; the others follow by rank.
+func (r *routing) claimDelay(k machine.Shard, s *shard, now clock.Instant) time.Duration {
+	var last holderEntry
+	if s.last.value != nil && json.Unmarshal(s.last.value, &last) == nil && r.own(last) {
+		return 0
+	}
+	delay := time.Duration(r.rank(k)) * claimStagger
+	if s.last.value == nil {
+		delay += settleMembers
+	} else if p := r.members.peers[last.Node]; p != nil && !p.stopping {
+		delay += lastHolderFirst
+	}
+	if part := (machine.Shards + r.members.count() - 1) / r.members.count(); r.giver.held(now) >= part {
+		delay += claimExtra
+	}
+	return delay
 }
 
 // rank returns the number of peers that should claim a shard before this VM, by rendezvous hashing.
--- a/node/entry/watch.go
+++ b/node/entry/watch.go
@@ -114,7 +114,7 @@
 			out.runners = append(out.runners, runnerChange{id: id, announcement: a, invalid: err})
 		case strings.HasPrefix(e.Key, prefixOwn):
 			out.own = append(out.own, ownChange{
-				key: e.Key, value: e.Value, revision: e.Revision, created: e.Created, gone: e.Deleted,
+				key: e.Key, value: e.Value, revision: e.Revision, gone: e.Deleted,
 			})
 		}
 	}
