Start quotas with a tenth of the burst

Cause: a process that starts amid traffic granted a whole burst again, since it can't know what was used before; after a kill of all VMs under a tenant far over its limit, a window could hold two bursts.

--- a/cmd/processtest/path_test.go
+++ b/cmd/processtest/path_test.go
@@ -255,6 +255,7 @@
 // TestQuotaOverAllEntries guards the limit over all entry VMs: what two of them admit together stays under it.
 func TestQuotaOverAllEntries(t *testing.T) {
 	d := start(t)
+	time.Sleep(2 * time.Second) // the VMs start with a small part of the burst
 	admitted, refused := 0, 0
 	begin := time.Now()
 	for i := 0; time.Since(begin) < 3*time.Second; i++ {
--- a/fleet/contract/quota.go
+++ b/fleet/contract/quota.go
@@ -31,10 +31,11 @@
 	total float64
 }
 
-// NewQuota returns a full bucket.
-func NewQuota(limit Limit, slack QuotaSlack, now clock.Instant) *Quota {
+// NewQuota returns a bucket that is filled to a part of its capacity, from 0 to 1. What the organisation used before the
+// process started is unknown, so a process that starts amid traffic must not grant a whole burst again.
+func NewQuota(limit Limit, slack QuotaSlack, fill float64, now clock.Instant) *Quota {
 	q := &Quota{limit: limit, slack: slack, share: 1, at: now, peers: make(map[string]counted)}
-	q.level = q.capacity()
+	q.level = fill * q.capacity()
 	return q
 }
 
--- a/fleet/contract/quota_test.go
+++ b/fleet/contract/quota_test.go
@@ -39,7 +39,7 @@
 		now := second
 		quotas := make([]*Quota, nodes)
 		for i := range quotas {
-			quotas[i] = NewQuota(limit, QuotaSlack{}, now)
+			quotas[i] = NewQuota(limit, QuotaSlack{}, 1, now)
 		}
 		names := []string{"a", "b", "c", "d", "e"}
 		var events []admitted
@@ -77,7 +77,7 @@
 // count, whether it started with this process or long before.
 func TestQuotaHearsFirstReport(t *testing.T) {
 	limit := Limit{PerSecond: 100, Burst: 50, InTokens: true}
-	a, b := NewQuota(limit, QuotaSlack{}, second), NewQuota(limit, QuotaSlack{}, second)
+	a, b := NewQuota(limit, QuotaSlack{}, 1, second), NewQuota(limit, QuotaSlack{}, 1, second)
 	if !a.Take(50, second) {
 		t.Fatal("the burst is refused")
 	}
@@ -86,7 +86,7 @@
 	if b.Level(second) != -20 {
 		t.Errorf("level %v after bursts at two nodes", b.Level(second))
 	}
-	c := NewQuota(limit, QuotaSlack{}, second)
+	c := NewQuota(limit, QuotaSlack{}, 1, second)
 	c.Meet("a", 1, 1e9, a.Level(second), second)
 	if c.Take(1, second) {
 		t.Error("the burst is admitted again by a new process")
@@ -96,7 +96,7 @@
 // TestQuotaShare guards a node that is cut off from its peers: it spends its own part only.
 func TestQuotaShare(t *testing.T) {
 	limit := Limit{PerSecond: 100, Burst: 100, InTokens: true}
-	q := NewQuota(limit, QuotaSlack{}, second)
+	q := NewQuota(limit, QuotaSlack{}, 1, second)
 	q.SetShare(0.25, second)
 	total := 0.0
 	for now := second; now < 11*second; now = now.Add(10 * time.Millisecond) {
@@ -111,7 +111,7 @@
 
 // TestQuotaRefund guards requests that were admitted and never sent.
 func TestQuotaRefund(t *testing.T) {
-	q := NewQuota(Limit{PerSecond: 1, Burst: 10, InTokens: true}, QuotaSlack{}, second)
+	q := NewQuota(Limit{PerSecond: 1, Burst: 10, InTokens: true}, QuotaSlack{}, 1, second)
 	if !q.Take(10, second) || q.Take(1, second) {
 		t.Fatal("the burst is not 10")
 	}
@@ -123,10 +123,29 @@
 
 // TestQuotaLowered guards a lowered limit: what was used of the old one counts against the new one.
 func TestQuotaLowered(t *testing.T) {
-	q := NewQuota(Limit{PerSecond: 10, Burst: 100, InTokens: true}, QuotaSlack{}, second)
+	q := NewQuota(Limit{PerSecond: 10, Burst: 100, InTokens: true}, QuotaSlack{}, 1, second)
 	q.Take(80, second)
 	q.SetLimit(Limit{PerSecond: 10, Burst: 40, InTokens: true}, second)
 	if q.Take(1, second) {
 		t.Error("admitted beyond the lowered limit")
 	}
 }
+
+// TestQuotaStartsLow guards the limit over a restart of all VMs: the new processes know nothing of what was used before.
+func TestQuotaStartsLow(t *testing.T) {
+	limit := Limit{PerSecond: 100, Burst: 100, InTokens: true}
+	before := NewQuota(limit, QuotaSlack{}, 1, second)
+	total := 0.0
+	take := func(q *Quota, from, to clock.Instant) {
+		for now := from; now < to; now = now.Add(10 * time.Millisecond) {
+			for q.Take(5, now) {
+				total += 5
+			}
+		}
+	}
+	take(before, second, 3*second)
+	take(NewQuota(limit, QuotaSlack{}, 0.1, 3*second), 3*second, 5*second)
+	if bound := 100*4 + 100 + 10.0; total > bound {
+		t.Errorf("admitted %v of %v", total, bound)
+	}
+}
--- a/node/entry/admission.go
+++ b/node/entry/admission.go
@@ -28,7 +28,9 @@
 	// quotaBurstPart and quotaSlackPart are the parts of the operators' slack that widen the burst and, spread over the
 	// window, the rate. The rest covers what several VMs admit before they hear of each other.
 	quotaBurstPart = 0.1
-	quotaSlackPart = 0.55
+	quotaSlackPart = 0.65
+	// quotaFill is the part of a burst that a process grants at its start.
+	quotaFill = 0.1
 	// quotaRatePart is the part of the tolerated excess of the rate that is used.
 	quotaRatePart = 0.8
 )
@@ -86,7 +88,7 @@
 func (r *routing) quota(o *contract.Organisation, now clock.Instant) *contract.Quota {
 	q := r.quotas[o.Name]
 	if q == nil {
-		q = contract.NewQuota(o.Limit, r.quotaSlack(), now)
+		q = contract.NewQuota(o.Limit, r.quotaSlack(), quotaFill, now)
 		q.SetShare(r.members.share(now), now)
 		r.quotas[o.Name] = q
 	}
--- a/node/entry/believed.go
+++ b/node/entry/believed.go
@@ -45,10 +45,8 @@
 	r.log.Info("manifest in force", "version", m.Version, "before", r.version())
 	r.manifest = m
 	r.giver.placer.Configure(m)
-	for name, o := range m.Organisations {
-		if q := r.quotas[name]; q != nil {
-			q.SetLimit(o.Limit, now)
-		}
+	for _, o := range m.Organisations {
+		r.quota(o, now).SetLimit(o.Limit, now)
 	}
 	r.metrics.manifest.Set(float64(m.Version))
 }
--- a/node/entry/routing_test.go
+++ b/node/entry/routing_test.go
@@ -61,7 +61,7 @@
 	return data
 }
 
-// serve puts a manifest in force and announces runners of the plain service.
+// serve puts a manifest in force, announces runners of the plain service and lets the quotas fill.
 func (b *bench) serve(runners ...machine.RunnerID) {
 	change := storeChanged{manifest: testManifest(1), complete: true, sent: b.now}
 	for _, id := range runners {
@@ -70,6 +70,8 @@
 		}})
 	}
 	b.apply(change)
+	b.now = b.now.Add(2 * time.Second)
+	b.apply(storeChanged{sent: b.now})
 }
 
 // arrive admits a request and returns the call with its decision, or nil while it waits.
