Load first what can still be answered within its objective

Cause: with more missing models than runners that can swap, the longest waiting requests went first: they came late anyway and made the next ones late too. Change: VMs report how many waiting requests can still be on time and until when; among missing models those rank first.

--- a/fleet/machine/demand.go
+++ b/fleet/machine/demand.go
@@ -26,6 +26,8 @@
 type Asked struct {
 	Artifact Artifact
 	Waiting  int           // requests that wait for a replica, now
+	Timely   int           // those of them that can still be answered within their objective
+	Due      time.Duration // time until the first of these must be sent
 	Arrivals int           // requests since the last report
 	Urgent   int           // those of them that cannot wait for a load
 	Work     time.Duration // prefill time that they take
@@ -36,9 +38,16 @@
 	at       clock.Instant
 	arrivals float64 // decayed counts; divided by demandMemory they are rates
 	urgent   float64
-	work     float64 // decayed seconds of prefill
-	waiting  map[string]int
-	since    clock.Instant // requests have waited since; zero: none waits
+	work     float64          // decayed seconds of prefill
+	waiting  map[string]queue // by node
+	since    clock.Instant    // requests have waited since; zero: none waits
+}
+
+// queue is what waits at one node.
+type queue struct {
+	requests int
+	timely   int
+	due      clock.Instant // the first timely request must be sent by then
 }
 
 func (d *demand) decay(now clock.Instant) {
@@ -54,14 +63,14 @@
 	d.arrivals += float64(a.Arrivals)
 	d.urgent += float64(a.Urgent)
 	d.work += a.Work.Seconds()
-	d.setWaiting(node, a.Waiting, now)
+	d.setWaiting(node, queue{requests: a.Waiting, timely: a.Timely, due: now.Add(a.Due)}, now)
 }
 
-func (d *demand) setWaiting(node string, n int, now clock.Instant) {
-	if n == 0 {
+func (d *demand) setWaiting(node string, q queue, now clock.Instant) {
+	if q.requests == 0 {
 		delete(d.waiting, node)
 	} else {
-		d.waiting[node] = n
+		d.waiting[node] = q
 	}
 	switch {
 	case len(d.waiting) == 0:
@@ -71,12 +80,17 @@
 	}
 }
 
-func (d *demand) total() int {
-	n := 0
-	for _, w := range d.waiting {
-		n += w
+// total sums the queues of all nodes up.
+func (d *demand) total() queue {
+	var sum queue
+	for _, q := range d.waiting {
+		sum.requests += q.requests
+		sum.timely += q.timely
+		if q.timely > 0 && (sum.due == 0 || q.due < sum.due) {
+			sum.due = q.due
+		}
 	}
-	return n
+	return sum
 }
 
 // rate returns requests per second, urgentRate those that cannot wait, utilization the prefill seconds per second.
--- a/fleet/machine/placement.go
+++ b/fleet/machine/placement.go
@@ -25,6 +25,10 @@
 	patientLoss = 0.3
 	// waitingGain is the gain of a load for each request that waits for it.
 	waitingGain = 1.0
+	// lateRank weighs requests that come late anyway against those that need not: a late answer earns about a seventh.
+	lateRank = 0.15
+	// shortestLoad is the least time that a load from a copy takes.
+	shortestLoad = 600 * time.Millisecond
 	// replicaGain is the least gain of a further replica of a busy model.
 	replicaGain = 1.0
 	// spreadGain is the gain of a first copy of a model that no runner has, while there is no demand at all.
@@ -128,7 +132,7 @@
 	}
 	for artifact, d := range p.demands {
 		if !named[artifact] {
-			d.setWaiting(node, 0, now)
+			d.setWaiting(node, queue{}, now)
 		}
 	}
 }
@@ -139,7 +143,7 @@
 func (p *Placer) demand(a Artifact, now clock.Instant) *demand {
 	d := p.demands[a]
 	if d == nil {
-		d = &demand{at: now, waiting: make(map[string]int)}
+		d = &demand{at: now, waiting: make(map[string]queue)}
 		p.demands[a] = d
 	}
 	return d
@@ -330,6 +334,8 @@
 // standing is what all entry VMs ask of one model with its adapters, and how many runners hold it.
 type standing struct {
 	waiting  int
+	timely   int           // of those, requests that can still be answered within their objective
+	due      clock.Instant // the first of these must be sent by then
 	since    clock.Instant // requests have waited since; zero: none waits
 	rate     float64       // requests per second
 	urgent   float64       // of those, requests that cannot wait for a load
@@ -354,7 +360,12 @@
 	p.cold = p.loadingCold(now)
 	for a, d := range p.demands {
 		s := p.standing(a.Base())
-		s.waiting += d.total()
+		q := d.total()
+		s.waiting += q.requests
+		s.timely += q.timely
+		if q.timely > 0 && (s.due == 0 || q.due < s.due) {
+			s.due = q.due
+		}
 		if d.since != 0 && (s.since == 0 || d.since < s.since) {
 			s.since = d.since
 		}
@@ -400,21 +411,36 @@
 	return replicaGain + s.rate*min(1, max(0, overload))
 }
 
-// placeModels loads models where that gains most first.
+// rank returns how soon a replica is due among others of the same gain: of the requests that wait, those count most that a
+// load can still serve within their objective, the nearer to it the more.
+func (s *standing) rank(now clock.Instant) float64 {
+	gain := s.gain(now)
+	if s.replicas > 0 || gain == 0 {
+		return gain
+	}
+	left := s.due.Sub(now)
+	if s.timely == 0 || left < shortestLoad {
+		return lateRank * gain
+	}
+	return lateRank*gain + float64(s.timely)*(1+swapTime.Seconds()/left.Seconds())
+}
+
+// placeModels loads models, those of the highest rank first.
 func (p *Placer) placeModels(now clock.Instant, plan *Plan) {
 	clear(p.reserved)
 	type candidate struct {
 		artifact Artifact
 		gain     float64
+		rank     float64
 	}
 	var candidates []candidate
 	for a, s := range p.standings {
 		if gain := s.gain(now); gain > 0 {
-			candidates = append(candidates, candidate{a, gain})
+			candidates = append(candidates, candidate{a, gain, s.rank(now)})
 		}
 	}
 	slices.SortFunc(candidates, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(b.gain, a.gain), cmp.Compare(a.artifact.Model, b.artifact.Model))
+		return cmp.Or(cmp.Compare(b.rank, a.rank), cmp.Compare(a.artifact.Model, b.artifact.Model))
 	})
 	if len(p.demands) == 0 {
 		p.spread(now, plan)
--- a/fleet/machine/placement_test.go
+++ b/fleet/machine/placement_test.go
@@ -308,3 +308,18 @@
 		t.Errorf("wishes %+v", plan.Wishes)
 	}
 }
+
+// TestTimelyRequestsFirst guards the order of loads when runners are scarce: a request that can still be answered within
+// its objective goes before one that is late anyway, however long that one has waited.
+func TestTimelyRequestsFirst(t *testing.T) {
+	w := newWorld(1, 8)
+	w.act(w.placer.Plan(true, w.now), func() int { return 9 })
+	late, timely := Asked{Artifact: artifact(1, 0), Waiting: 1}, Asked{Artifact: artifact(3, 0), Waiting: 1, Timely: 1, Due: 2 * time.Second}
+	w.placer.Observe("n", []Asked{late}, w.now)
+	w.advance(4 * time.Second)
+	w.placer.Observe("n", []Asked{late, timely}, w.now)
+	w.placer.Plan(true, w.now)
+	if b := w.placer.books["r0"]; b.swap == nil || b.swap.model != modelName(3) {
+		t.Errorf("swap %+v", b.swap)
+	}
+}
--- a/node/entry/members.go
+++ b/node/entry/members.go
@@ -155,7 +155,7 @@
 	for _, q := range r.quotas {
 		q.SetShare(share, now)
 	}
-	r.giver.placer.Observe(r.node, takeAsked(r.asked), now)
+	r.giver.placer.Observe(r.node, r.takeAsked(r.asked, now), now)
 	var loads []link.Load
 	for name, p := range r.members.peers {
 		if !p.listed && now.Sub(p.heard) > forgetAfter {
@@ -184,7 +184,7 @@
 	for organisation, q := range r.quotas {
 		report.Spent = append(report.Spent, link.Spent{Organisation: organisation, Total: q.Own(), Level: q.Level(now)})
 	}
-	report.Asked = takeAsked(p.asked)
+	report.Asked = r.takeAsked(p.asked, now)
 	r.addAccounts(&report, p, now)
 	if p.outbox.TryPush(report) {
 		p.busy, p.urgent, p.sentAt = true, false, now
@@ -192,7 +192,8 @@
 }
 
 // takeAsked returns the demand since the last call and starts anew.
-func takeAsked(asked map[machine.Artifact]*machine.Asked) []machine.Asked {
+func (r *routing) takeAsked(asked map[machine.Artifact]*machine.Asked, now clock.Instant) []machine.Asked {
+	r.judgeWaiting(asked, now)
 	out := make([]machine.Asked, 0, len(asked))
 	for artifact, a := range asked {
 		out = append(out, *a)
@@ -205,6 +206,24 @@
 	return out
 }
 
+// judgeWaiting counts the waiting calls that can still be answered within their objective.
+func (r *routing) judgeWaiting(asked map[machine.Artifact]*machine.Asked, now clock.Instant) {
+	for _, a := range asked {
+		a.Timely, a.Due = 0, 0
+	}
+	for _, c := range r.waiting {
+		a := asked[c.artifact]
+		left := c.request.Arrived.Add(c.admitted.Route.Objective - firstToken).Sub(now)
+		if !c.waiting || a == nil || left <= 0 {
+			continue
+		}
+		if a.Timely == 0 || left < a.Due {
+			a.Due = left
+		}
+		a.Timely++
+	}
+}
+
 // eachAsked applies a change of demand to this VM's own account and to what the peers have still to be told.
 func (r *routing) eachAsked(a machine.Artifact, change func(*machine.Asked)) {
 	apply := func(asked map[machine.Artifact]*machine.Asked) {
