Tell each peer once of a broken run, and load only in full reports

Found while reading the reports' size. TestStrikesAreToldOnce fails without the change: told 5 times. Change: digests are kept for each peer until they are sent; urgent reports leave loads and spent limits out.

--- a/fleet/link/report.go
+++ b/fleet/link/report.go
@@ -13,9 +13,10 @@
 	Boot     int64 // Unix nanoseconds of the process's start
 	Sequence uint64
 	Stopping bool
+	Full     bool // Loads and Spent are included; urgent reports leave them out
 	Loads    []Load
-	Asked    []machine.Asked
 	Spent    []Spent
+	Asked    []machine.Asked
 	Struck   []uint64 // digests of requests whose run broke off since the last report
 
 	Version uint64         // of the accounts of the runners whose orders the node gives
--- a/node/entry/members.go
+++ b/node/entry/members.go
@@ -48,11 +48,13 @@
 	sequence uint64 // of its last report; zero: none has come
 	stopping bool
 	sentAt   clock.Instant
+	fullAt   clock.Instant                       // the last report with loads and spent limits was sent
 	busy     bool                                // a report is on its way
 	urgent   bool                                // a report is due before its period
 	version  uint64                              // of this VM's accounts that it has
 	asked    map[machine.Artifact]*machine.Asked // demand that it has not been told
 	wishes   []machine.Wish
+	struck   []uint64 // digests of broken runs that it has not been told
 }
 
 // members is what this VM knows of the other entry VMs.
@@ -179,13 +181,19 @@
 func (r *routing) reportTo(p *peer, loads []link.Load, now clock.Instant) {
 	r.members.sequence++
 	report := link.Report{
-		Node: r.node, Boot: r.boot, Sequence: r.members.sequence, Stopping: r.stopping, Loads: loads, Struck: r.struck,
+		Node: r.node, Boot: r.boot, Sequence: r.members.sequence, Stopping: r.stopping, Struck: p.struck,
+		Full: now.Sub(p.fullAt) >= reportPeriod,
 	}
-	for organisation, q := range r.quotas {
-		report.Spent = append(report.Spent, link.Spent{Organisation: organisation, Total: q.Own(), Level: q.Level(now)})
+	if report.Full {
+		report.Loads = loads
+		for organisation, q := range r.quotas {
+			report.Spent = append(report.Spent, link.Spent{Organisation: organisation, Total: q.Own(), Level: q.Level(now)})
+		}
+		p.fullAt = now
 	}
 	report.Asked = r.takeAsked(p.asked, now)
 	r.addAccounts(&report, p, now)
+	p.struck = nil
 	if p.outbox.TryPush(report) {
 		p.busy, p.urgent, p.sentAt = true, false, now
 	}
@@ -260,10 +268,9 @@
 		return
 	}
 	p.sequence, p.heard, p.stopping = in.Sequence, now, in.Stopping
-	if in.Loads == nil {
-		in.Loads = []link.Load{}
+	if in.Full {
+		r.table.SetPeer(in.Node, append([]link.Load{}, in.Loads...))
 	}
-	r.table.SetPeer(in.Node, in.Loads)
 	for _, s := range in.Spent {
 		if o := r.organisation(contract.OrganisationName(s.Organisation)); o != nil && o.Limit.PerSecond > 0 {
 			r.hearSpent(r.quota(o, now), in, s, now)
--- a/node/entry/routing.go
+++ b/node/entry/routing.go
@@ -53,7 +53,6 @@
 	quotas    map[contract.OrganisationName]*contract.Quota
 	budgets   map[contract.ServiceName]*link.Budget
 	strikes   *link.Strikes
-	struck    []uint64
 	waiting   []*call
 	asked     map[machine.Artifact]*machine.Asked
 
--- a/node/entry/routing_test.go
+++ b/node/entry/routing_test.go
@@ -359,3 +359,29 @@
 		t.Errorf("tenure %+v", tenure)
 	}
 }
+
+// TestStrikesAreToldOnce guards innocent requests: one broken run counts once at each peer, however many reports follow.
+func TestStrikesAreToldOnce(t *testing.T) {
+	b := newBench()
+	b.serve()
+	b.announceEngine("e1", machine.Holding{Model: "m"})
+	b.announceEngine("e2", machine.Holding{Model: "m"})
+	value := marshal(nodeEntry{Address: "10.0.0.2:7600", Boot: 5})
+	b.apply(storeChanged{sent: b.now, own: []ownChange{{key: prefixNodes + "n2", value: value, revision: 3}}})
+	c, d := b.chat()
+	b.end(c, d.attempt, resultBroken)
+	told := 0
+	for range 5 {
+		b.now = b.now.Add(reportPeriod)
+		b.report(b.now)
+		report, err := b.members.peers["n2"].outbox.Pop(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		told += len(report.Struck)
+		b.apply(delivered{node: "n2", boot: 5, version: report.Version, ok: true})
+	}
+	if told != 1 {
+		t.Errorf("one broken run was told %d times", told)
+	}
+}
--- a/node/entry/settle.go
+++ b/node/entry/settle.go
@@ -81,7 +81,9 @@
 		return
 	case m.result == resultBroken && m.attempt.artifact.Model != "" && !c.streaming:
 		r.strikes.Add(c.request.Digest, now)
-		r.struck = append(r.struck, c.request.Digest)
+		for _, p := range r.members.peers {
+			p.struck = append(p.struck, c.request.Digest)
+		}
 		if r.strikes.Out(c.request.Digest, now) {
 			r.refuse(c, contract.Failed(contract.RunnerFailed, "the request broke off at several runners"), now)
 			return
