--- a/fleet/machine/demand.go
+++ b/fleet/machine/demand.go
@@ -22,6 +22,10 @@
 // five seconds.
 const demandMemory = 3 * time.Second
 
+// riseMemory is the time constant with which rising demand is noticed: a model that becomes busy within seconds needs its
+// replicas before the longer memory shows them.
+const riseMemory = time.Second
+
 // Asked is the demand for one artifact at one entry VM since its last report.
 type Asked struct {
 	Artifact Artifact
@@ -39,6 +43,7 @@
 	arrivals float64 // decayed counts; divided by demandMemory they are rates
 	urgent   float64
 	work     float64          // decayed seconds of prefill
+	rise     float64          // the same over riseMemory
 	waiting  map[string]queue // by node
 	since    clock.Instant    // requests have waited since; zero: none waits
 }
@@ -54,6 +59,7 @@
 	if elapsed := now.Sub(d.at); elapsed > 0 {
 		f := math.Exp(-elapsed.Seconds() / demandMemory.Seconds())
 		d.arrivals, d.urgent, d.work = d.arrivals*f, d.urgent*f, d.work*f
+		d.rise *= math.Exp(-elapsed.Seconds() / riseMemory.Seconds())
 	}
 	d.at = now
 }
@@ -63,6 +69,7 @@
 	d.arrivals += float64(a.Arrivals)
 	d.urgent += float64(a.Urgent)
 	d.work += a.Work.Seconds()
+	d.rise += a.Work.Seconds()
 	d.setWaiting(node, queue{requests: a.Waiting, timely: a.Timely, due: now.Add(a.Due)}, now)
 }
 
@@ -94,9 +101,11 @@
 }
 
 // rate returns requests per second, urgentRate those that cannot wait, utilization the prefill seconds per second.
-func (d *demand) rate() float64        { return d.arrivals / demandMemory.Seconds() }
-func (d *demand) urgentRate() float64  { return d.urgent / demandMemory.Seconds() }
-func (d *demand) utilization() float64 { return d.work / demandMemory.Seconds() }
+func (d *demand) rate() float64       { return d.arrivals / demandMemory.Seconds() }
+func (d *demand) urgentRate() float64 { return d.urgent / demandMemory.Seconds() }
+func (d *demand) utilization() float64 {
+	return max(d.work/demandMemory.Seconds(), d.rise/riseMemory.Seconds())
+}
 
 // idle reports whether the demand can be forgotten.
 func (d *demand) idle() bool { return len(d.waiting) == 0 && d.arrivals < 0.001 }
--- a/fleet/machine/placement_test.go
+++ b/fleet/machine/placement_test.go
@@ -323,3 +323,24 @@
 		t.Errorf("swap %+v", b.swap)
 	}
 }
+
+// TestRisingDemandIsNoticed guards a rare model that becomes busy: after a second in which its requests fill the prefill
+// time of one replica, three are wanted, so that each is used by about a third.
+func TestRisingDemandIsNoticed(t *testing.T) {
+	w := newWorld(4, 8)
+	a := artifact(0, 0)
+	for range 50 {
+		w.advance(20 * time.Millisecond)
+		w.placer.Observe("n", []Asked{{Artifact: a, Arrivals: 1, Urgent: 1, Work: 24 * time.Millisecond}}, w.now)
+	}
+	w.placer.survey(w.now)
+	if n := w.placer.standing(a).needed(); n < 3 {
+		t.Errorf("%d replicas needed after a second", n)
+	}
+	w.advance(30 * time.Second)
+	w.placer.forgetOld(w.now)
+	w.placer.survey(w.now)
+	if n := w.placer.standing(a).needed(); n > 1 {
+		t.Errorf("%d replicas needed long after the last request", n)
+	}
+}
