Keep the weight store's rate, bound reports by the number of VMs, split the placement

Cause: (1) four loads at once from the weight store exceed its rate where loads are short; only its count at once was bounded. Change: loads begun within 5 s are counted against the stated rate; the periods of reports grow with the number of VMs beyond eight; the placement's parts have files of their own; the body limit follows the manifest; fields that no code read are gone. Tests: TestColdLoadsKeepTheRate fails without the bound (27 loads instead of 3), TestReportsStayBounded without the growth.

--- /dev/null
+++ b/cmd/processtest/fleet_test.go
@@ -0,0 +1,173 @@
+package processtest
+
+import (
+	"fmt"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/mangopass/mangopass/standin/store"
+)
+
+// TestWithdrawnKey guards keys: a key that a new manifest has dropped stops working at every entry VM, and an entry VM
+// that cannot prove its manifest's freshness refuses keys while public routes go on.
+func TestWithdrawnKey(t *testing.T) {
+	d := start(t)
+	if err := d.PutManifest(t.Context(), manifest(5, "another-key")); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(2 * time.Second)
+	for _, e := range d.Entries {
+		if got := call(t, t.Context(), e.Callers, ask{method: "GET", path: "/stock/1", id: "w"}); got.status != http.StatusUnauthorized {
+			t.Errorf("%s: status %d with a withdrawn key", e.Name, got.status)
+		}
+	}
+	if err := d.Fail(t.Context(), d.Store, store.Faults{Silent: true}); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(5 * time.Second)
+	for _, e := range d.Entries {
+		if got := call(t, t.Context(), e.Callers, ask{method: "GET", path: "/stock/1", id: "w2", key: "another-key"}); got.status != http.StatusServiceUnavailable {
+			t.Errorf("%s: status %d with a manifest that may be stale", e.Name, got.status)
+		}
+		if got := call(t, t.Context(), e.Callers, ask{method: "GET", path: "/open/1", id: "w3", key: "-"}); got.status != http.StatusOK {
+			t.Errorf("%s: status %d on a public route", e.Name, got.status)
+		}
+	}
+}
+
+// TestManifestNeverReverts guards against older and malformed manifests and odd runner entries.
+func TestManifestNeverReverts(t *testing.T) {
+	d := start(t)
+	if err := d.PutManifest(t.Context(), manifest(9, "new-key")); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(1500 * time.Millisecond)
+	for _, value := range []string{`{"version":3,"routes":[]}`, `{"version":"x"}`, `not json`} {
+		if err := d.Put(t.Context(), "op/config", []byte(value)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for i, value := range []string{`{"service":"desk"}`, `{"service":7}`, `[]`, `{"service":"desk","address":"nowhere","zone":"dc-a","slots":1,"state":"ready"}`} {
+		if err := d.Put(t.Context(), fmt.Sprint("servers/odd-", i), []byte(value)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	time.Sleep(1500 * time.Millisecond)
+	for i := range 6 {
+		got := call(t, t.Context(), d.Entries[i%2].Callers, ask{method: "GET", path: "/stock/1", id: fmt.Sprint("m", i), key: "new-key", deadlineMs: 1500})
+		if got.status != http.StatusOK {
+			t.Errorf("got %+v", got)
+		}
+	}
+}
+
+// TestQuotaOverAllEntries guards the limit over all entry VMs: what two of them admit together stays under it.
+func TestQuotaOverAllEntries(t *testing.T) {
+	d := start(t)
+	time.Sleep(2 * time.Second) // the VMs start with a small part of the burst
+	admitted, refused := 0, 0
+	begin := time.Now()
+	for i := 0; time.Since(begin) < 3*time.Second; i++ {
+		got := call(t, t.Context(), d.Entries[i%2].Callers, ask{
+			method: "POST", path: "/confirm/1", id: fmt.Sprint("q", i), body: "x", deadlineMs: 1500,
+			header: map[string]string{"X-Mangopass-Token-Count": "900,100"},
+		})
+		switch got.status {
+		case http.StatusOK:
+			admitted++
+		case http.StatusTooManyRequests:
+			refused++
+			time.Sleep(10 * time.Millisecond)
+		default:
+			t.Fatalf("got %+v", got)
+		}
+	}
+	elapsed := time.Since(begin).Seconds()
+	// A burst of 6,000 and 4,000 a second, of which 5 in 100 may be exceeded, and one request in flight at each VM.
+	most := int((6000+4000*elapsed*1.05)/1000) + 2
+	if admitted > most || admitted < most*7/10 || refused == 0 {
+		t.Errorf("admitted %d of at most %d, refused %d", admitted, most, refused)
+	}
+}
+
+// TestPlannedStop guards graceful shutdown: a stream that is under way finishes, the VM is not ready at once, and the
+// process ends by itself with exit code 0.
+func TestPlannedStop(t *testing.T) {
+	d := start(t)
+	e := d.Entries[0]
+	type result struct{ got answer }
+	done := make(chan result, 1)
+	go func() {
+		done <- result{call(t, t.Context(), e.Callers, ask{method: "POST", path: "/chat/x", model: "tulip", id: "stop", deadlineMs: 6000})}
+	}()
+	time.Sleep(50 * time.Millisecond)
+	e.Signal(syscall.SIGTERM)
+	got := <-done
+	if got.got.status != http.StatusOK || got.got.err != nil {
+		t.Errorf("got %+v", got.got)
+	}
+	if d.Ready(t.Context(), e) {
+		t.Error("still ready after SIGTERM")
+	}
+	code, err := e.Wait(9 * time.Second)
+	if err != nil || code != 0 {
+		t.Errorf("exit code %d, error %v", code, err)
+	}
+}
+
+// TestOrderGiversKeepApart guards the pause between two order givers: the one that gives the orders to the engines is
+// killed, the other takes over, and no runner gets orders from both within the pause.
+func TestOrderGiversKeepApart(t *testing.T) {
+	d := start(t)
+	for i, model := range []string{"rose", "lily", "rose"} {
+		_ = call(t, t.Context(), d.Entries[i%2].Callers, ask{method: "POST", path: "/draft/x", model: model, id: fmt.Sprint("o", i), deadlineMs: 8000})
+	}
+	d.Entries[0].Signal(syscall.SIGKILL)
+	deadline := time.Now().Add(14 * time.Second)
+	for i := 0; time.Now().Before(deadline); i++ {
+		model := []string{"rose", "lily", "tulip"}[i%3]
+		_ = call(t, t.Context(), d.Entries[1].Callers, ask{method: "POST", path: "/draft/x", model: model, id: fmt.Sprint("p", i), deadlineMs: 3000})
+	}
+	for _, r := range d.Runners[:2] {
+		record, err := d.Record(t.Context(), r.Address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for i := 1; i < len(record.Orders); i++ {
+			a, b := record.Orders[i-1], record.Orders[i]
+			if a.Holder != b.Holder && b.At.Sub(a.At) < 3*time.Second {
+				t.Errorf("%s: orders of %s and %s are %s apart", r.ID, a.Holder, b.Holder, b.At.Sub(a.At))
+			}
+			if a.Holder != b.Holder && b.Fence <= a.Fence {
+				t.Errorf("%s: fence %d of %s after %d of %s", r.ID, b.Fence, b.Holder, a.Fence, a.Holder)
+			}
+		}
+	}
+}
+
+// TestLostAnswersOfTheStore guards terms and membership against writes whose answer is lost.
+func TestLostAnswersOfTheStore(t *testing.T) {
+	d := start(t)
+	if err := d.Fail(t.Context(), d.Store, store.Faults{LoseWrites: true}); err != nil {
+		t.Fatal(err)
+	}
+	d.Entries[0].Signal(syscall.SIGKILL)
+	time.Sleep(time.Second)
+	if err := d.Restart(d.Entries[0]); err != nil {
+		t.Fatal(err)
+	}
+	if err := d.AwaitReady(); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(4 * time.Second)
+	if err := d.Fail(t.Context(), d.Store, store.Faults{Compact: true}); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(4 * time.Second)
+	got := call(t, t.Context(), d.Entries[0].Callers, ask{method: "POST", path: "/draft/x", model: "rose", id: "lost", deadlineMs: 8000})
+	if got.status != http.StatusOK {
+		t.Errorf("got %+v", got)
+	}
+}
--- /dev/null
+++ b/cmd/processtest/program_test.go
@@ -0,0 +1,128 @@
+package processtest
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// TestAPI guards the product's own front end: it takes the same decisions as the platform's, and answers refusals in its
+// own form.
+func TestAPI(t *testing.T) {
+	d := start(t)
+	ask := func(method, path, key, body string) (int, string) {
+		req, err := http.NewRequestWithContext(t.Context(), method, "http://"+d.Entries[0].API+path, strings.NewReader(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header.Set("Content-Type", "application/json")
+		req.Header.Set("Authorization", "Bearer "+key)
+		resp, err := fresh.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = resp.Body.Close() }()
+		data, err := io.ReadAll(resp.Body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return resp.StatusCode, string(data)
+	}
+	status, body := ask("POST", "/v1/chat/completions", callerKey, `{"model":"chat/tulip","stream":true,"max_tokens":20,"x":1}`)
+	if status != http.StatusOK {
+		t.Fatalf("chat: %d %s", status, body)
+	}
+	wantEvents(t, body, 12)
+	status, body = ask("POST", "/v1/services/confirm/orders/1", callerKey, "{}")
+	if status != http.StatusOK || !strings.Contains(body, "answers") {
+		t.Errorf("invoke: %d %s", status, body)
+	}
+	status, body = ask("GET", "/v1/models", callerKey, "")
+	if status != http.StatusOK || !strings.Contains(body, `"chat"`) {
+		t.Errorf("models: %d %s", status, body)
+	}
+	for _, c := range []struct {
+		path, key, body, code string
+		want                  int
+	}{
+		{"/v1/chat/completions", "other", `{"model":"chat/tulip"}`, "invalid_key", http.StatusUnauthorized},
+		{"/v1/chat/completions", callerKey, `{"model":"tulip"}`, "invalid_request", http.StatusBadRequest},
+		{"/v1/chat/completions", callerKey, `{"model":"none/tulip"}`, "route_not_found", http.StatusNotFound},
+	} {
+		if status, body := ask("POST", c.path, c.key, c.body); status != c.want || !strings.Contains(body, c.code) {
+			t.Errorf("%s: %d %s", c.body, status, body)
+		}
+	}
+}
+
+// TestCommands guards the operators' command: status of a VM, the story of a request, and exit codes.
+func TestCommands(t *testing.T) {
+	d := start(t)
+	_ = call(t, t.Context(), d.Entries[0].Callers, ask{method: "POST", path: "/draft/x", model: "rose", id: "story", deadlineMs: 8000})
+	time.Sleep(100 * time.Millisecond) // for the log
+	logs := filepath.Join(t.TempDir(), "log")
+	if err := os.WriteFile(logs, []byte(d.Entries[0].Log()+d.Entries[1].Log()), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		args []string
+		code int
+		want string
+	}{
+		{[]string{"status", d.Entries[0].Metrics}, 0, "manifest 1"},
+		{[]string{"status", "--json", d.Entries[0].Metrics}, 0, `"planner"`},
+		{[]string{"explain", "story", logs}, 0, "Served by runner"},
+		{[]string{"explain", "none", logs}, 1, "no log line"},
+		{[]string{"explain"}, 2, "REQUEST_ID"},
+		{[]string{"status", "127.0.0.1:1"}, 1, "status"},
+	} {
+		out, code := mangopass(c.args...)
+		if code != c.code || !strings.Contains(out, c.want) {
+			t.Errorf("%v: exit code %d, output %s", c.args, code, out)
+		}
+	}
+}
+
+// TestReload guards against a SIGHUP that ends the process, and against a faulty file that replaces good settings.
+func TestReload(t *testing.T) {
+	d := start(t)
+	e := d.Entries[0]
+	good, err := os.ReadFile(e.Settings)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i, text := range []string{strings.Replace(string(good), `"revoke_ms": 5000`, `"revoke_ms": 4000`, 1), `{"id":""}`, string(good)} {
+		if err := os.WriteFile(e.Settings, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		e.Signal(syscall.SIGHUP)
+		time.Sleep(300 * time.Millisecond)
+		got := call(t, t.Context(), e.Callers, ask{method: "GET", path: "/stock/1", id: fmt.Sprint("hup", i), deadlineMs: 1500})
+		if got.status != http.StatusOK {
+			t.Errorf("settings %d: got %+v", i, got)
+		}
+	}
+	log := e.Log()
+	if strings.Count(log, "settings reloaded") != 2 || strings.Count(log, "settings rejected") != 1 {
+		t.Errorf("log:\n%s", tail(log, 30))
+	}
+}
+
+// TestMalformedSettings guards the start: the faulty field is named and the exit code is 2.
+func TestMalformedSettings(t *testing.T) {
+	out, code := check(t, `{"id":"x","ip":"127.0.0.1","zone":"nowhere","ports":[1],"store":"s","listen":{}}`)
+	if code != 2 {
+		t.Errorf("exit code %d", code)
+	}
+	for _, field := range []string{"zone", "ports", "store", "listen.callers"} {
+		if !strings.Contains(out, "settings: "+field) {
+			t.Errorf("%q does not name %s", out, field)
+		}
+	}
+}
--- a/fleet/contract/manifest.go
+++ b/fleet/contract/manifest.go
@@ -42,14 +42,6 @@
 	return float64(promptTokens + maxTokens)
 }
 
-// CallerLimits bound what a caller may send and how long it may take.
-type CallerLimits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
-}
-
 // Model describes a model that an engine can hold.
 type Model struct {
 	Name      ModelName
@@ -62,7 +54,6 @@
 
 // Engine describes the model engines of a service.
 type Engine struct {
-	Slots          int
 	WeightsMB      float64 // room for weights and adapters on one runner
 	AdapterSlots   int
 	LoadsPerSecond float64 // weight store, over all runners
@@ -79,7 +70,7 @@
 // Manifest is one version of the operators' configuration. It does not change once built.
 type Manifest struct {
 	Version       int64
-	Limits        CallerLimits
+	BodyBytes     int64 // longest body of a request; zero: not stated
 	Services      map[ServiceName]*Service
 	Organisations map[OrganisationName]*Organisation
 
@@ -88,9 +79,9 @@
 }
 
 // NewManifest builds the indexes of a manifest.
-func NewManifest(version int64, limits CallerLimits, services []*Service, routes []*Route, organisations []*Organisation) *Manifest {
+func NewManifest(version, bodyBytes int64, services []*Service, routes []*Route, organisations []*Organisation) *Manifest {
 	m := &Manifest{
-		Version: version, Limits: limits,
+		Version: version, BodyBytes: bodyBytes,
 		Services:      make(map[ServiceName]*Service, len(services)),
 		Organisations: make(map[OrganisationName]*Organisation, len(organisations)),
 		routes:        make(map[string][]*Route), owners: make(map[KeyHash]*Organisation),
--- /dev/null
+++ b/fleet/machine/adapters.go
@@ -0,0 +1,135 @@
+package machine
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/mangopass/mangopass/duty/clock"
+	"github.com/mangopass/mangopass/fleet/contract"
+)
+
+// adapterComing reports whether a runner is about to load an adapter that it does not list yet.
+func (p *Placer) adapterComing(r *Runner, m contract.ModelName, a contract.AdapterName, now clock.Instant) bool {
+	if p.authority.MayOrder(r.ID, now) {
+		b := p.books[r.ID]
+		return b != nil && b.boot == r.Boot && b.pending != nil && b.pending.Kind == Load && b.pending.Model == m && b.pending.Adapter == a
+	}
+	remote := p.remotes[r.ID]
+	return remote != nil && remote.boot == r.Boot && remote.wishUntil.After(now) && remote.wish.Model == m && remote.wish.Adapter == a
+}
+
+// placeAdapters loads adapters that requests wait for and that no replica of their model has.
+func (p *Placer) placeAdapters(now clock.Instant, plan *Plan) {
+	var wanted []Artifact
+	for a, d := range p.demands {
+		if a.Adapter != "" && len(d.waiting) > 0 {
+			wanted = append(wanted, a)
+		}
+	}
+	slices.SortFunc(wanted, func(a, b Artifact) int {
+		return cmp.Or(cmp.Compare(a.Model, b.Model), cmp.Compare(a.Adapter, b.Adapter))
+	})
+	for _, a := range wanted {
+		p.placeAdapter(a, now, plan)
+	}
+}
+
+func (p *Placer) placeAdapter(a Artifact, now clock.Instant, plan *Plan) {
+	var best *Runner
+	lowest := math.Inf(1)
+	for _, r := range p.fleet.All() {
+		if r.Service != a.Service || p.engine(r) == nil || !r.Usable(now) {
+			continue
+		}
+		residence := r.Holds(a.Model)
+		if residence == nil {
+			continue
+		}
+		if _, held := residence.Adapters[a.Adapter]; held || p.adapterComing(r, a.Model, a.Adapter, now) {
+			return
+		}
+		if !residence.Ready("", now) || !p.idle(r, now) {
+			continue
+		}
+		cost := p.use.Queued[r.ID].Seconds()
+		if !p.adapterFits(r, a) {
+			if _, ok := p.oldestAdapter(r, now); !ok {
+				continue
+			}
+			cost += adapterLoad.Seconds()
+		}
+		if cost < lowest {
+			best, lowest = r, cost
+		}
+	}
+	switch {
+	case best == nil:
+	case p.authority.MayOrder(best.ID, now):
+		p.loadAdapter(best, a, now, plan)
+	default:
+		p.wish(best, a.Model, a.Adapter, now, plan)
+	}
+}
+
+func (p *Placer) adapterFits(r *Runner, a Artifact) bool {
+	return adapterCount(r) < p.engine(r).AdapterSlots && p.room(r, a.Model, a.Adapter) >= 0
+}
+
+// loadAdapter orders an adapter's load, or the unload of another one that stands in its way.
+func (p *Placer) loadAdapter(r *Runner, a Artifact, now clock.Instant, plan *Plan) {
+	residence := r.Holds(a.Model)
+	if residence == nil || !residence.Ready("", now) {
+		return
+	}
+	if _, held := residence.Adapters[a.Adapter]; held {
+		return
+	}
+	b := p.book(r)
+	if p.adapterFits(r, a) {
+		if comingCount(r, now) < comingAdapters {
+			p.give(r, b, Load, a.Model, a.Adapter, plan)
+		}
+		return
+	}
+	if victim, ok := p.oldestAdapter(r, now); ok {
+		p.give(r, b, Unload, victim.Model, victim.Adapter, plan)
+	}
+}
+
+// oldestAdapter returns the unused adapter on a runner that is asked for least.
+func (p *Placer) oldestAdapter(r *Runner, now clock.Instant) (Artifact, bool) {
+	var victim Artifact
+	lowest := math.Inf(1)
+	for _, residence := range r.Resident {
+		for name, readyAt := range residence.Adapters {
+			a := Artifact{Service: r.Service, Model: residence.Model, Adapter: name}
+			if readyAt.Add(settleTime).After(now) || p.use.Running[Place{r.ID, a}] > 0 {
+				continue
+			}
+			value := 0.0
+			if d := p.demands[a]; d != nil {
+				value = d.arrivals
+				if len(d.waiting) > 0 {
+					continue
+				}
+			}
+			if value < lowest || value == lowest && name < victim.Adapter {
+				victim, lowest = a, value
+			}
+		}
+	}
+	return victim, victim.Adapter != ""
+}
+
+func comingCount(r *Runner, now clock.Instant) int {
+	n := 0
+	for _, residence := range r.Resident {
+		for _, readyAt := range residence.Adapters {
+			if readyAt.After(now) {
+				n++
+			}
+		}
+	}
+	return n
+}
--- a/fleet/machine/engine_test.go
+++ b/fleet/machine/engine_test.go
@@ -129,7 +129,7 @@
 
 // testService has models of 16 and 34 GB and room for 83 GB, as the deployments have.
 func testService(models int) *contract.Service {
-	e := &contract.Engine{Slots: 8, WeightsMB: 83000, AdapterSlots: 3, LoadsPerSecond: 7, HostMB: 57000,
+	e := &contract.Engine{WeightsMB: 83000, AdapterSlots: 3, LoadsPerSecond: 7, HostMB: 57000,
 		Models: make(map[contract.ModelName]contract.Model)}
 	for i := range models {
 		mb := 34300.0
--- a/fleet/machine/placement_test.go
+++ b/fleet/machine/placement_test.go
@@ -32,7 +32,7 @@
 	w := &world{now: start, fleet: NewFleet(), engines: make(map[RunnerID]*engine)}
 	service := testService(models)
 	w.placer = NewPlacer(w.fleet, quiet{}, everywhere{})
-	w.placer.Configure(contract.NewManifest(1, contract.CallerLimits{}, []*contract.Service{service}, nil, nil))
+	w.placer.Configure(contract.NewManifest(1, 0, []*contract.Service{service}, nil, nil))
 	for i := range runners {
 		id := RunnerID(fmt.Sprint("r", i))
 		w.engines[id] = &engine{id: id, boot: 1, spec: service.Engine, held: map[contract.ModelName][]contract.AdapterName{
@@ -197,8 +197,8 @@
 			{Model: modelName(7), ReadyIn: 15 * time.Second},
 		}}, w.now)
 	}
-	if n := w.placer.loadingCold(w.now); n != 6 {
-		t.Errorf("%d of six loads from the weight store count", n)
+	if w.placer.noteCold(w.now); w.placer.cold != 6 {
+		t.Errorf("%d of six loads from the weight store count", w.placer.cold)
 	}
 }
 
@@ -344,3 +344,31 @@
 		t.Errorf("%d replicas needed long after the last request", n)
 	}
 }
+
+// TestColdLoadsKeepTheRate guards the weight store's rate where loads are short: four at once would exceed it.
+func TestColdLoadsKeepTheRate(t *testing.T) {
+	w := newWorld(6, 24)
+	w.placer.services["s"].Engine.LoadsPerSecond = 0.6
+	begun := 0
+	for i := 0; w.now.Sub(start) < coldWindow-100*time.Millisecond; i++ {
+		w.advance(50 * time.Millisecond)
+		w.placer.Observe("n", []Asked{{Artifact: artifact(i%24, 0), Waiting: 1, Arrivals: 1}}, w.now)
+		plan := w.placer.Plan(true, w.now)
+		for _, o := range plan.Orders {
+			if o.Kind == Load {
+				begun++
+			}
+		}
+		w.act(plan, func() int { return 9 })
+		for _, e := range w.engines { // each load ends at once
+			e.busyUntil = w.now
+			e.settle(w.now)
+			if r := w.fleet.Get(e.id); w.placer.books[e.id] != nil && w.placer.books[e.id].pending == nil && w.placer.books[e.id].swap == nil {
+				w.placer.book(r).busyUntil, w.placer.book(r).askAfter = 0, 0
+			}
+		}
+	}
+	if begun > 3 {
+		t.Errorf("%d loads in %v at 0.6 a second", begun, coldWindow)
+	}
+}
--- /dev/null
+++ b/fleet/machine/sites.go
@@ -0,0 +1,191 @@
+package machine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/mangopass/mangopass/duty/clock"
+	"github.com/mangopass/mangopass/fleet/contract"
+)
+
+// load is a model of which a replica would be of use.
+type load struct {
+	artifact Artifact
+	gain     float64
+	rank     float64
+}
+
+// placeModels loads models, those of the highest rank first.
+func (p *Placer) placeModels(now clock.Instant, plan *Plan) {
+	clear(p.reserved)
+	var loads []load
+	for a, s := range p.standings {
+		if gain := s.gain(now); gain > 0 {
+			loads = append(loads, load{a, gain, s.rank(now)})
+		}
+	}
+	slices.SortFunc(loads, func(a, b load) int {
+		return cmp.Or(cmp.Compare(b.rank, a.rank), cmp.Compare(a.artifact.Model, b.artifact.Model))
+	})
+	if len(p.demands) == 0 {
+		p.spread(now, plan)
+	}
+	for _, l := range loads {
+		p.place(l.artifact, l.gain, now, plan)
+	}
+}
+
+// spread loads models that no runner has a copy of, before there is any demand: a later request then waits a second
+// instead of six.
+func (p *Placer) spread(now clock.Instant, plan *Plan) {
+	for _, s := range p.services {
+		if s.Engine == nil {
+			continue
+		}
+		for _, name := range slices.Sorted(maps.Keys(s.Engine.Models)) {
+			a := Artifact{Service: s.Name, Model: name}
+			if !p.copied(a) && p.standing(a).replicas == 0 {
+				p.place(a, spreadGain, now, plan)
+			}
+		}
+	}
+}
+
+// copied reports whether any runner holds a model or has a copy of it.
+func (p *Placer) copied(a Artifact) bool {
+	for _, r := range p.fleet.All() {
+		if r.Service == a.Service && (r.Holds(a.Model) != nil || slices.Contains(r.InMemory, a.Model) || slices.Contains(r.OnDisk, a.Model)) {
+			return true
+		}
+	}
+	return false
+}
+
+// place starts a swap that brings a model onto the runner where it is expected first, if the gain is above what is lost.
+// While that runner is busy the model waits for its turn there.
+func (p *Placer) place(a Artifact, gain float64, now clock.Instant, plan *Plan) {
+	var best site
+	for _, r := range p.fleet.All() {
+		if s, ok := p.consider(r, a, gain, now); ok && (best.runner == nil || s.cost < best.cost) {
+			best = s
+		}
+	}
+	switch {
+	case best.runner == nil:
+	case best.now:
+		p.begin(best.runner, a.Model, best.victims, now, plan)
+		if m := p.engine(best.runner).Models[a.Model]; p.loadTime(best.runner, m) == m.LoadCold {
+			p.beginCold(best.runner, a.Model, now)
+		}
+		p.standing(a).replicas++
+	default:
+		p.reserved[best.runner.ID]++
+	}
+}
+
+// site is a runner that could load a model.
+type site struct {
+	runner  *Runner
+	victims []contract.ModelName
+	cost    float64 // seconds until the model is ready, and what is lost
+	now     bool    // the load can begin now
+}
+
+// consider judges a runner as the place for a model.
+func (p *Placer) consider(r *Runner, a Artifact, gain float64, now clock.Instant) (site, bool) {
+	e := p.engine(r)
+	if r.Service != a.Service || e == nil || !r.Usable(now) || r.LeavesAt != 0 || r.Holds(a.Model) != nil || !p.answers(r, now) {
+		return site{}, false
+	}
+	model, known := e.Models[a.Model]
+	if !known {
+		return site{}, false
+	}
+	takes := p.loadTime(r, model)
+	if takes == model.LoadCold && !p.mayLoadCold(e) {
+		return site{}, false
+	}
+	ahead := p.reserved[r.ID]
+	s := site{runner: r, now: ahead == 0 && p.idle(r, now)}
+	out, ok := p.evict(r, e, model.WeightsMB, now)
+	if !ok || out.lost >= gain {
+		return site{}, false
+	}
+	s.victims, s.now = out.victims, s.now && out.now
+	s.cost = out.lost + takes.Seconds() + float64(len(out.victims))*unloadTime.Seconds() + p.use.Queued[r.ID].Seconds() +
+		p.freeIn(r, now).Seconds() + float64(ahead)*swapTime.Seconds()
+	if out.inUse {
+		s.cost += runTime.Seconds()
+	}
+	return s, true
+}
+
+// answers reports whether a runner's account can be relied on: the runner has answered in this term, and since.
+func (p *Placer) answers(r *Runner, now clock.Instant) bool {
+	if p.authority.MayOrder(r.ID, now) {
+		b := p.book(r)
+		return b.read && b.failures == 0
+	}
+	return p.remote(r).answers(now)
+}
+
+func (p *Placer) freeIn(r *Runner, now clock.Instant) time.Duration {
+	if p.authority.MayOrder(r.ID, now) {
+		return p.book(r).freeIn(now)
+	}
+	return p.remote(r).freeIn(now)
+}
+
+// loadTime returns how long a runner takes to load a model from its nearest copy.
+func (p *Placer) loadTime(r *Runner, m contract.Model) time.Duration {
+	switch {
+	case slices.Contains(r.InMemory, m.Name):
+		return m.LoadWarm
+	case slices.Contains(r.OnDisk, m.Name):
+		return m.LoadDisk
+	}
+	return m.LoadCold
+}
+
+// noteCold counts the loads from the weight store that are in progress or about to begin, and those that began in the
+// window of its rate.
+func (p *Placer) noteCold(now clock.Instant) {
+	p.cold = 0
+	for _, r := range p.fleet.All() {
+		e := p.engine(r)
+		if e == nil {
+			continue
+		}
+		for name, residence := range r.Resident {
+			if residence.ReadyAt.Sub(now) > e.Models[name].LoadDisk+loadMargin {
+				p.beginCold(r, name, now)
+			}
+		}
+		if name := p.arriving(r, now); name != "" {
+			if m, ok := e.Models[name]; ok && p.loadTime(r, m) == m.LoadCold {
+				p.beginCold(r, name, now)
+			}
+		}
+	}
+	for place, began := range p.coldBegan {
+		if now.Sub(began) > coldWindow {
+			delete(p.coldBegan, place)
+		}
+	}
+}
+
+// beginCold counts one load from the weight store.
+func (p *Placer) beginCold(r *Runner, name contract.ModelName, now clock.Instant) {
+	p.cold++
+	place := Place{r.ID, Artifact{Service: r.Service, Model: name}}
+	if _, known := p.coldBegan[place]; !known {
+		p.coldBegan[place] = now
+	}
+}
+
+// mayLoadCold reports whether the weight store has room for one more load.
+func (p *Placer) mayLoadCold(e *contract.Engine) bool {
+	return p.cold < coldLoadsAtOnce && float64(len(p.coldBegan)+1) <= max(1, e.LoadsPerSecond*coldWindow.Seconds())
+}
--- a/node/entry/api.go
+++ b/node/entry/api.go
@@ -49,7 +49,7 @@
 			x.key, x.hasKey = contract.HashKey(key), true
 		}
 		r.Header.Del("Authorization") // the key goes no further
-		r.Body = http.MaxBytesReader(w, r.Body, c.bodyLimit)
+		r.Body = http.MaxBytesReader(w, r.Body, c.bodyLimit.Load())
 		mux.ServeHTTP(x, r.WithContext(context.WithValue(r.Context(), apiKey{}, x)))
 	})
 }
--- a/node/entry/believed.go
+++ b/node/entry/believed.go
@@ -44,6 +44,9 @@
 	}
 	r.log.Info("manifest in force", "version", m.Version, "before", r.version())
 	r.manifest = m
+	if m.BodyBytes > 0 {
+		r.bodyMax.Store(m.BodyBytes)
+	}
 	r.giver.placer.Configure(m)
 	for _, o := range m.Organisations {
 		r.quota(o, now).SetLimit(o.Limit, now)
--- a/node/entry/callers.go
+++ b/node/entry/callers.go
@@ -22,7 +22,7 @@
 type callers struct {
 	routing   *ring.Ring[message]
 	runners   *platform.Runners
-	bodyLimit int64
+	bodyLimit *atomic.Int64   // bytes; set by the routing duty from the manifest
 	cutoff    context.Context // ends when a planned stop can wait no longer for answers
 	draining  atomic.Bool
 	open      atomic.Int64 // requests without a final answer
@@ -35,7 +35,7 @@
 	if h.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	call, refusal := platform.DecodeCall(r, h.bodyLimit, clock.Now())
+	call, refusal := platform.DecodeCall(r, h.bodyLimit.Load(), clock.Now())
 	if refusal != nil {
 		platform.WriteRefusal(w, "", refusal)
 		return
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -23,11 +23,12 @@
 	"github.com/mangopass/mangopass/platform"
 )
 
-// Bounds of the callers' connections until a manifest says otherwise, and of the stop.
+// Bounds of the callers' connections, and of the stop. They lie above the limits that manifests state for callers, so that
+// no connection is closed that a caller may still use; bodyBytes holds until a manifest states another one.
 const (
-	headerTimeout = 3 * time.Second
-	idleTimeout   = 20 * time.Second
-	headerBytes   = 20 << 10
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 2 * time.Minute
+	headerBytes   = 64 << 10
 	bodyBytes     = 4 << 20
 	// drainTime is how long new connections are still taken after the readiness probe has failed: the platform needs
 	// two misses, a second apart.
@@ -68,7 +69,7 @@
 	runners := platform.NewRunners()
 	cutoff, cancel := context.WithCancel(context.Background())
 	e.cutoff = cancel
-	e.callers = &callers{routing: e.routing.intake, runners: runners, bodyLimit: bodyBytes, cutoff: cutoff}
+	e.callers = &callers{routing: e.routing.intake, runners: runners, bodyLimit: &e.routing.bodyMax, cutoff: cutoff}
 	e.join(runners, boot)
 	if err := e.listen(registry); err != nil {
 		e.group.Stop()
--- a/node/entry/giver.go
+++ b/node/entry/giver.go
@@ -161,7 +161,7 @@
 func (r *routing) choosePlanner(now clock.Instant) string {
 	best, boot := r.node, r.boot
 	for name, p := range r.members.peers {
-		if p.stopping || p.sequence == 0 || now.Sub(p.heard) > silentAfter {
+		if p.stopping || p.sequence == 0 || now.Sub(p.heard) > r.members.silence() {
 			continue
 		}
 		if p.Boot < boot || p.Boot == boot && name < best {
--- a/node/entry/members.go
+++ b/node/entry/members.go
@@ -28,8 +28,13 @@
 	urgentPeriod = 8 * time.Millisecond
 	// silentAfter is the time without a report after which a peer counts as cut off.
 	silentAfter = 700 * time.Millisecond
+	// reportsMissed is the number of reports without which a peer counts as cut off at least.
+	reportsMissed = 4
 	// forgetAfter is the time without a report after which a peer without an entry is forgotten.
 	forgetAfter = 2 * time.Second
+	// meshSize is the number of entry VMs up to which each reports to each other at the full rate. Beyond, the periods grow
+	// with the number, so that what a VM sends in a second stays the same.
+	meshSize = 8
 )
 
 // nodeEntry is what an entry VM says of itself in the store.
@@ -68,11 +73,19 @@
 // count returns the number of entry VMs.
 func (m *members) count() int { return 1 + len(m.peers) }
 
+// stretch returns the factor by which periods grow with the number of entry VMs.
+func (m *members) stretch() time.Duration { return time.Duration(max(1, m.count()/meshSize)) }
+
+// silence returns the time without a report after which a peer counts as cut off.
+func (m *members) silence() time.Duration {
+	return max(silentAfter, reportsMissed*reportPeriod*m.stretch())
+}
+
 // share returns the part of the entry VMs that this one hears, itself included.
 func (m *members) share(now clock.Instant) float64 {
 	heard := 1
 	for _, p := range m.peers {
-		if now.Sub(p.heard) < silentAfter {
+		if now.Sub(p.heard) < m.silence() {
 			heard++
 		}
 	}
@@ -164,9 +177,12 @@
 			r.dropPeer(name, now)
 			continue
 		}
-		period := reportPeriod
-		if p.urgent || p.version < r.giver.placer.Version() {
+		period := reportPeriod * r.members.stretch()
+		switch {
+		case p.urgent:
 			period = urgentPeriod
+		case p.version < r.giver.placer.Version():
+			period = urgentPeriod * r.members.stretch()
 		}
 		if p.busy || now.Sub(p.sentAt) < period {
 			continue
@@ -182,7 +198,7 @@
 	r.members.sequence++
 	report := link.Report{
 		Node: r.node, Boot: r.boot, Sequence: r.members.sequence, Stopping: r.stopping, Struck: p.struck,
-		Full: now.Sub(p.fullAt) >= reportPeriod,
+		Full: now.Sub(p.fullAt) >= reportPeriod*r.members.stretch(),
 	}
 	if report.Full {
 		report.Loads = loads
--- a/node/entry/routing.go
+++ b/node/entry/routing.go
@@ -40,8 +40,9 @@
 	intake   *ring.Ring[message]
 	rand     *rand.Rand
 	looked   clock.Instant
-	due      bool        // messages have come since the last look
-	ready    atomic.Bool // read by the readiness probe
+	due      bool         // messages have come since the last look
+	ready    atomic.Bool  // read by the readiness probe
+	bodyMax  atomic.Int64 // read by the front ends
 	stopping bool
 	stopWait clock.Instant // during a planned stop: calls wait for a replica no longer
 
@@ -74,6 +75,7 @@
 		r.giver.shards[k].holder.gone = true
 	}
 	r.members.peers = make(map[string]*peer)
+	r.bodyMax.Store(bodyBytes)
 	return r
 }
 
--- a/node/entry/routing_test.go
+++ b/node/entry/routing_test.go
@@ -385,3 +385,38 @@
 		t.Errorf("one broken run was told %d times", told)
 	}
 }
+
+// TestReportsStayBounded guards large deployments: with every VM reporting to every other, what one sends in a second must
+// not grow with their number.
+func TestReportsStayBounded(t *testing.T) {
+	sent := func(peers int) int {
+		b := newBench()
+		b.serve()
+		for i := range peers {
+			value := marshal(nodeEntry{Address: "10.0.0.2:7600", Boot: 5})
+			b.apply(storeChanged{sent: b.now, own: []ownChange{{key: fmt.Sprint(prefixNodes, "peer-", i), value: value, revision: 3}}})
+		}
+		n := 0
+		for range 500 {
+			b.now = b.now.Add(20 * time.Millisecond)
+			for _, p := range b.members.peers {
+				p.heard = b.now
+			}
+			b.report(b.now)
+			for name, p := range b.members.peers {
+				if p.outbox.Len() > 0 {
+					report, err := p.outbox.Pop(t.Context())
+					if err != nil {
+						t.Fatal(err)
+					}
+					n++
+					b.apply(delivered{node: name, boot: 5, version: report.Version, ok: true})
+				}
+			}
+		}
+		return n
+	}
+	if few, many := sent(7), sent(99); many > 3*few {
+		t.Errorf("%d reports to 99 peers in ten seconds, %d to 7", many, few)
+	}
+}
--- a/standin/deploy/deploy.go
+++ b/standin/deploy/deploy.go
@@ -21,6 +21,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/mangopass/mangopass/duty"
+	"github.com/mangopass/mangopass/duty/ring"
 	"github.com/mangopass/mangopass/standin/runner"
 )
 
@@ -41,8 +42,7 @@
 	cmd  *exec.Cmd
 	args []string
 	out  *output
-	done chan struct{}
-	err  error
+	done *ring.Ring[struct{}] // closed at the process's end
 }
 
 // output collects what a process prints.
@@ -176,7 +176,7 @@
 func (d *Deployment) Restart(e *Entry) error { return d.startEntry(e, e.Name) }
 
 func (d *Deployment) run(name, program string, args ...string) (*Process, error) {
-	p := &Process{Name: name, args: args, out: &output{}, done: make(chan struct{})}
+	p := &Process{Name: name, args: args, out: &output{}, done: ring.New[struct{}](name, 1)}
 	p.cmd = exec.Command(filepath.Join(d.spec.Binaries, program), args...)
 	p.cmd.Stdout, p.cmd.Stderr = p.out, p.out
 	if err := p.cmd.Start(); err != nil {
@@ -187,8 +187,8 @@
 	d.mu.Unlock()
 	waiter := duty.NewGroup(context.Background())
 	waiter.Go("wait for "+name, func(context.Context) {
-		p.err = p.cmd.Wait()
-		close(p.done)
+		_ = p.cmd.Wait() // the exit code stands in the process's state
+		p.done.Close()
 	})
 	return p, nil
 }
@@ -198,14 +198,11 @@
 
 // Wait returns the exit code, or an error if the process still runs after the timeout.
 func (p *Process) Wait(timeout time.Duration) (int, error) {
-	timer := time.NewTimer(timeout)
-	defer timer.Stop()
-	select {
-	case <-p.done:
-		return p.cmd.ProcessState.ExitCode(), nil
-	case <-timer.C:
+	_, err := p.done.PopBatchUntil(context.Background(), time.Now().Add(timeout), make([]struct{}, 1))
+	if !errors.Is(err, ring.ErrClosed) {
 		return 0, errors.Newf("%s still runs after %s", p.Name, timeout)
 	}
+	return p.cmd.ProcessState.ExitCode(), nil
 }
 
 // PutManifest writes the manifest as the platform's operator does.
@@ -291,12 +288,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, p := range d.processes {
-		select {
-		case <-p.done:
-		default:
-			p.Signal(syscall.SIGKILL)
-			<-p.done
-		}
+		p.Signal(syscall.SIGKILL) // has no effect on a process that has ended
+		_, _ = p.done.Pop(context.Background())
 	}
 }
 
