Keep the limit of one process test out of the others

The refusal is what the limit asks for; the test's setup was wrong. Change: the tests have an ample limit; TestQuotaOverAllEntries puts its own, the same as before, with the same bounds. No Go source outside test files has changed.

--- a/cmd/processtest/fleet_test.go
+++ b/cmd/processtest/fleet_test.go
@@ -66,7 +66,10 @@
 // TestQuotaOverAllEntries guards the limit over all entry VMs: what two of them admit together stays under it.
 func TestQuotaOverAllEntries(t *testing.T) {
 	d := start(t)
-	time.Sleep(2 * time.Second) // the VMs start with a small part of the burst
+	if err := d.PutManifest(t.Context(), limitedManifest(2, limit{perSecond: 4000, burst: 6000}, callerKey)); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(2 * time.Second) // for the limit to be in force and the buckets to be full
 	admitted, refused := 0, 0
 	begin := time.Now()
 	for i := 0; time.Since(begin) < 3*time.Second; i++ {
--- a/cmd/processtest/setup_test.go
+++ b/cmd/processtest/setup_test.go
@@ -39,8 +39,16 @@
 
 type object = map[string]any
 
+// limit is an organisation's rate and burst, in tokens.
+type limit struct{ perSecond, burst int }
+
+// ample is a limit that no test reaches, not even with the small part of a burst that a VM grants at its start.
+var ample = limit{perSecond: 400_000, burst: 600_000}
+
 // manifest returns a manifest with a resumable chat, a plain draft stream, an unsafe and a safe route.
-func manifest(version int, keys ...string) object {
+func manifest(version int, keys ...string) object { return limitedManifest(version, ample, keys...) }
+
+func limitedManifest(version int, of limit, keys ...string) object {
 	route := func(name, kind, service string, attempts, timeoutMs int, resume, public bool) object {
 		return object{
 			"name": name, "host": "coop.example", "prefix": "/" + name + "/", "kind": kind, "timeout_ms": timeoutMs,
@@ -69,7 +77,7 @@
 		},
 		"limits": object{"header_bytes": 16384, "body_bytes": 4194304, "header_ms": 3000, "idle_ms": 15000},
 		"tenants": []object{
-			{"name": "coop", "keys": keys, "unit": "tokens", "plain_tokens": 200, "rate_per_s": 4000, "burst": 6000},
+			{"name": "coop", "keys": keys, "unit": "tokens", "plain_tokens": 200, "rate_per_s": of.perSecond, "burst": of.burst},
 		},
 	}
 }
