Scale what is left of a limit when it changes

Cause: a lowered limit turned what had been used of the former one into a debt: from 540,000 of 600,000 tokens to a burst of 6,000 an organisation was refused everything for over a minute. Found by TestQuotaOverAllEntries once its limit came with a second manifest ('admitted 0 of at most 20'). Change: the level keeps its share of the capacity.

--- a/fleet/contract/quota.go
+++ b/fleet/contract/quota.go
@@ -39,15 +39,18 @@
 	return q
 }
 
-// SetLimit applies a changed limit. The level is cut to the new capacity.
+// SetLimit applies a changed limit. The level keeps its share of the capacity: a lowered limit binds from now on, and what
+// was used under the former one is no debt under it.
 func (q *Quota) SetLimit(limit Limit, now clock.Instant) {
 	if limit == q.limit {
 		return
 	}
 	q.refill(now)
-	used := q.capacity() - q.level
+	before := q.capacity()
 	q.limit = limit
-	q.level = math.Min(q.capacity(), q.capacity()-math.Max(0, used))
+	if before > 0 {
+		q.level *= q.capacity() / before
+	}
 }
 
 // SetShare sets the part of the limit that may be used here, from 0 to 1.
