Tell a new peer of the calls that wait already

Change: a new peer's account of demand starts with the calls that wait. TestNewPeerHearsOfWaitingCalls fails without it.

--- a/node/entry/members.go
+++ b/node/entry/members.go
@@ -147,6 +147,16 @@
 	r.dropPeer(name, now)
 	p = &peer{nodeEntry: e, outbox: ring.New[link.Report]("report", 1), listed: true, heard: now,
 		asked: make(map[machine.Artifact]*machine.Asked)}
+	for _, c := range r.waiting {
+		if c.waiting {
+			of := p.asked[c.artifact]
+			if of == nil {
+				of = &machine.Asked{Artifact: c.artifact}
+				p.asked[c.artifact] = of
+			}
+			of.Waiting++
+		}
+	}
 	r.members.peers[name] = p
 	r.members.connect(name, p)
 	r.log.Info("peer joined", "peer", name, "address", e.Address, "peers", len(r.members.peers))
--- a/node/entry/routing_test.go
+++ b/node/entry/routing_test.go
@@ -420,3 +420,20 @@
 		t.Errorf("%d reports to 99 peers in ten seconds, %d to 7", many, few)
 	}
 }
+
+// TestNewPeerHearsOfWaitingCalls guards calls that began to wait before a peer was known: if it plans or gives the orders,
+// nobody else will load their model.
+func TestNewPeerHearsOfWaitingCalls(t *testing.T) {
+	b := newBench()
+	b.serve()
+	if _, d := b.chat(); d != nil {
+		t.Fatalf("decision %+v without a replica", d)
+	}
+	value := marshal(nodeEntry{Address: "10.0.0.2:7600", Boot: 5})
+	b.apply(storeChanged{sent: b.now, own: []ownChange{{key: prefixNodes + "n2", value: value, revision: 3}}})
+	b.report(b.now)
+	report, err := b.members.peers["n2"].outbox.Pop(t.Context())
+	if err != nil || len(report.Asked) != 1 || report.Asked[0].Waiting != 1 {
+		t.Errorf("asked %+v, error %v", report.Asked, err)
+	}
+}
