Take an older peer's view of a limit over instead of its total

Cause: a VM that starts while its peers have run for up to ten seconds counted all that they had admitted since their start as used just now.

Change: of two VMs that hear of each other, the younger takes over the level of the older one, less what the older one has not heard from it; reports now say what they have heard. The older one counts the younger one's total, all of which was admitted after its own start. TestOlderPeerIsNoDebt failed with level -8100 instead of 500; TestYoungerPeerCountsFromItsStart and TestQuotaBoundsEveryWindow hold on both versions. The tests of the exchange between VMs now have a file of their own.

--- a/fleet/contract/quota.go
+++ b/fleet/contract/quota.go
@@ -111,16 +111,27 @@
 	q.level = math.Min(q.level-(total-last.total), q.capacity())
 }
 
-// Meet takes over the view of a peer that has run for long before this process: its total says nothing of when it was
-// admitted, but its level accounts for what all nodes admitted lately.
-func (q *Quota) Meet(node string, boot int64, total, level float64, now clock.Instant) {
+// Meet takes over the view of a peer that started before this process. Its total says nothing of when it was admitted, but
+// its level accounts for what all nodes admitted lately, and of what was admitted here for heard.
+func (q *Quota) Meet(node string, boot int64, total, level, heard float64, now clock.Instant) {
 	q.refill(now)
 	q.peers[node] = counted{boot: boot, total: total}
-	q.level = math.Min(q.level, level)
+	q.level = math.Min(q.level, level-(q.own-heard))
 }
 
 // Knows reports whether the peer's start has been heard of.
-func (q *Quota) Knows(node string, boot int64) bool { return q.peers[node].boot == boot }
+func (q *Quota) Knows(node string, boot int64) bool {
+	p, known := q.peers[node]
+	return known && p.boot == boot
+}
+
+// Heard returns what a peer's last report said that it had admitted since its start.
+func (q *Quota) Heard(node string, boot int64) float64 {
+	if !q.Knows(node, boot) {
+		return 0
+	}
+	return q.peers[node].total
+}
 
 func (q *Quota) capacity() float64 { return (q.limit.Burst + q.slack.Burst) * q.share }
 
--- a/fleet/contract/quota_test.go
+++ b/fleet/contract/quota_test.go
@@ -87,7 +87,7 @@
 		t.Errorf("level %v after bursts at two nodes", b.Level(second))
 	}
 	c := NewQuota(limit, QuotaSlack{}, 1, second)
-	c.Meet("a", 1, 1e9, a.Level(second), second)
+	c.Meet("a", 1, 1e9, a.Level(second), 0, second)
 	if c.Take(1, second) {
 		t.Error("the burst is admitted again by a new process")
 	}
--- a/fleet/link/report.go
+++ b/fleet/link/report.go
@@ -37,4 +37,5 @@
 	Organisation contract.OrganisationName
 	Total        float64
 	Level        float64 // what the node believes to be left for all nodes
+	Heard        float64 // what it has heard of the receiver's total
 }
--- a/node/entry/members.go
+++ b/node/entry/members.go
@@ -200,11 +200,11 @@
 		if loads == nil {
 			loads = r.table.Own()
 		}
-		r.reportTo(p, loads, now)
+		r.reportTo(name, p, loads, now)
 	}
 }
 
-func (r *routing) reportTo(p *peer, loads []link.Load, now clock.Instant) {
+func (r *routing) reportTo(name string, p *peer, loads []link.Load, now clock.Instant) {
 	r.members.sequence++
 	report := link.Report{
 		Node: r.node, Boot: r.boot, Sequence: r.members.sequence, Stopping: r.stopping, Struck: p.struck,
@@ -213,7 +213,9 @@
 	if report.Full {
 		report.Loads = loads
 		for organisation, q := range r.quotas {
-			report.Spent = append(report.Spent, link.Spent{Organisation: organisation, Total: q.Own(), Level: q.Level(now)})
+			report.Spent = append(report.Spent, link.Spent{
+				Organisation: organisation, Total: q.Own(), Level: q.Level(now), Heard: q.Heard(name, p.Boot),
+			})
 		}
 		p.fullAt = now
 	}
@@ -309,13 +311,12 @@
 	r.takeAccounts(in, now)
 }
 
-// sameStart is the difference between two processes' starts up to which the total of the older one is recent.
-const sameStart = 10 * time.Second
-
+// hearSpent counts what a peer has admitted. Of the first reports that two nodes hear of each other, the younger one's
+// counts from its start, and the younger one takes over the older one's view.
 func (r *routing) hearSpent(q *contract.Quota, in link.Report, s link.Spent, now clock.Instant) {
-	if q.Knows(in.Node, in.Boot) || in.Boot > r.boot-int64(sameStart) {
+	if q.Knows(in.Node, in.Boot) || in.Boot >= r.boot {
 		q.Peer(in.Node, in.Boot, s.Total, now)
 		return
 	}
-	q.Meet(in.Node, in.Boot, s.Total, s.Level, now)
+	q.Meet(in.Node, in.Boot, s.Total, s.Level, s.Heard, now)
 }
--- /dev/null
+++ b/node/entry/members_test.go
@@ -0,0 +1,131 @@
+package entry
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/mangopass/mangopass/fleet/contract"
+	"github.com/mangopass/mangopass/fleet/link"
+	"github.com/mangopass/mangopass/fleet/machine"
+)
+
+// join lets a peer register.
+func (b *bench) join(name string, boot int64) *peer {
+	value := marshal(nodeEntry{Address: "10.0.0.2:7600", Boot: boot})
+	b.apply(storeChanged{sent: b.now, own: []ownChange{{key: prefixNodes + name, value: value, revision: 3}}})
+	return b.members.peers[name]
+}
+
+// spent lets a peer report what it admitted for an organisation.
+func (b *bench) spent(name string, boot int64, sequence uint64, s link.Spent) {
+	b.apply(peerReported{report: link.Report{Node: name, Boot: boot, Sequence: sequence, Full: true, Spent: []link.Spent{s}}})
+}
+
+// TestOlderPeerIsNoDebt guards a restarted VM's organisations: what a peer admitted before this process started does not
+// count against them, or all their requests are refused until the rate has paid it off.
+func TestOlderPeerIsNoDebt(t *testing.T) {
+	b := newBench()
+	b.boot = int64(9 * time.Second)
+	b.serve()
+	quota := func() *contract.Quota { return b.quota(b.organisation("coop"), b.now) }
+	quota().Take(100, b.now)
+	b.join("n2", 1)
+	b.spent("n2", 1, 1, link.Spent{Organisation: "coop", Total: 9000, Level: 600})
+	if got := quota().Level(b.now); got < 500 || got > 600 {
+		t.Errorf("level %v; the peer has 600 left and does not know of 100", got)
+	}
+	b.spent("n2", 1, 2, link.Spent{Organisation: "coop", Total: 9050, Level: 450, Heard: 100})
+	if got := quota().Level(b.now); got < 450 || got > 550 {
+		t.Errorf("level %v after another 50", got)
+	}
+}
+
+// TestYoungerPeerCountsFromItsStart guards the limit over two VMs that start together: the older one counts all that the
+// younger one admitted before its first report.
+func TestYoungerPeerCountsFromItsStart(t *testing.T) {
+	b := newBench()
+	b.serve()
+	quota := b.quota(b.organisation("coop"), b.now)
+	level := quota.Level(b.now)
+	b.join("n2", 5)
+	b.spent("n2", 5, 1, link.Spent{Organisation: "coop", Total: 300, Level: 50})
+	if got := quota.Level(b.now); got > level-300 {
+		t.Errorf("level %v after 300 of %v", got, level)
+	}
+}
+
+// TestStrikesAreToldOnce guards innocent requests: one broken run counts once at each peer, however many reports follow.
+func TestStrikesAreToldOnce(t *testing.T) {
+	b := newBench()
+	b.serve()
+	b.announceEngine("e1", machine.Holding{Model: "m"})
+	b.announceEngine("e2", machine.Holding{Model: "m"})
+	b.join("n2", 5)
+	c, d := b.chat()
+	b.end(c, d.attempt, resultBroken)
+	told := 0
+	for range 5 {
+		b.now = b.now.Add(reportPeriod)
+		b.report(b.now)
+		report, err := b.members.peers["n2"].outbox.Pop(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		told += len(report.Struck)
+		b.apply(delivered{node: "n2", boot: 5, version: report.Version, ok: true})
+	}
+	if told != 1 {
+		t.Errorf("one broken run was told %d times", told)
+	}
+}
+
+// TestReportsStayBounded guards large deployments: with every VM reporting to every other, what one sends in a second must
+// not grow with their number.
+func TestReportsStayBounded(t *testing.T) {
+	sent := func(peers int) int {
+		b := newBench()
+		b.serve()
+		for i := range peers {
+			b.join(fmt.Sprint("peer-", i), 5)
+		}
+		n := 0
+		for range 500 {
+			b.now = b.now.Add(20 * time.Millisecond)
+			for _, p := range b.members.peers {
+				p.heard = b.now
+			}
+			b.report(b.now)
+			for name, p := range b.members.peers {
+				if p.outbox.Len() > 0 {
+					report, err := p.outbox.Pop(t.Context())
+					if err != nil {
+						t.Fatal(err)
+					}
+					n++
+					b.apply(delivered{node: name, boot: 5, version: report.Version, ok: true})
+				}
+			}
+		}
+		return n
+	}
+	if few, many := sent(7), sent(99); many > 3*few {
+		t.Errorf("%d reports to 99 peers in ten seconds, %d to 7", many, few)
+	}
+}
+
+// TestNewPeerHearsOfWaitingCalls guards calls that began to wait before a peer was known: if it plans or gives the orders,
+// nobody else will load their model.
+func TestNewPeerHearsOfWaitingCalls(t *testing.T) {
+	b := newBench()
+	b.serve()
+	if _, d := b.chat(); d != nil {
+		t.Fatalf("decision %+v without a replica", d)
+	}
+	b.join("n2", 5)
+	b.report(b.now)
+	report, err := b.members.peers["n2"].outbox.Pop(t.Context())
+	if err != nil || len(report.Asked) != 1 || report.Asked[0].Waiting != 1 {
+		t.Errorf("asked %+v, error %v", report.Asked, err)
+	}
+}
