Know a restarted peer by its report

Cause: VMs that start together learn of each other from the store's watch, half a second after their registration; until then a report of the new process was ignored, and each VM kept to its part of the limits and planned without the others' demand.

Ruled out: a shorter pause of the watch; it costs calls to the store on every VM at all times.

Change: reports carry the sender's address. A report of a node that is not known, or of a later start, makes it a peer at once; without an entry in the store it is forgotten as any other. TestRestartedPeerIsKnownByIts- Report failed without the change (boot 5 instead of 9).

--- a/fleet/link/report.go
+++ b/fleet/link/report.go
@@ -10,7 +10,8 @@
 // Report is what an entry VM tells each of its peers many times a second.
 type Report struct {
 	Node     string
-	Boot     int64 // Unix nanoseconds of the process's start
+	Address  string // IP:port for reports to the node
+	Boot     int64  // Unix nanoseconds of the process's start
 	Sequence uint64
 	Stopping bool
 	Full     bool // Loads and Spent are included; urgent reports leave them out
--- a/node/entry/members.go
+++ b/node/entry/members.go
@@ -145,22 +145,24 @@
 		p.listed = true
 		return
 	}
+	r.addPeer(name, e, now).listed = true
+}
+
+// addPeer starts to report to a peer, in place of an earlier process of the same name.
+func (r *routing) addPeer(name string, e nodeEntry, now clock.Instant) *peer {
 	r.dropPeer(name, now)
-	p = &peer{nodeEntry: e, outbox: ring.New[link.Report]("report", 1), listed: true, heard: now,
-		asked: make(map[machine.Artifact]*machine.Asked)}
+	p := &peer{
+		nodeEntry: e, outbox: ring.New[link.Report]("report", 1), heard: now, asked: make(map[machine.Artifact]*machine.Asked),
+	}
 	for _, c := range r.waiting {
 		if c.waiting {
-			of := p.asked[c.artifact]
-			if of == nil {
-				of = &machine.Asked{Artifact: c.artifact}
-				p.asked[c.artifact] = of
-			}
-			of.Waiting++
+			askedOf(p.asked, c.artifact).Waiting++
 		}
 	}
 	r.members.peers[name] = p
 	r.members.connect(name, p)
 	r.log.Info("peer joined", "peer", name, "address", e.Address, "peers", len(r.members.peers))
+	return p
 }
 
 func (r *routing) dropPeer(name string, now clock.Instant) {
@@ -208,7 +210,7 @@
 func (r *routing) reportTo(name string, p *peer, loads []link.Load, now clock.Instant) {
 	r.members.sequence++
 	report := link.Report{
-		Node: r.node, Boot: r.boot, Sequence: r.members.sequence, Stopping: r.stopping, Struck: p.struck,
+		Node: r.node, Address: r.address, Boot: r.boot, Sequence: r.members.sequence, Stopping: r.stopping, Struck: p.struck,
 		Full: now.Sub(p.fullAt) >= reportPeriod*r.members.stretch(),
 	}
 	if report.Full {
@@ -263,20 +265,22 @@
 
 // eachAsked applies a change of demand to this VM's own account and to what the peers have still to be told.
 func (r *routing) eachAsked(a machine.Artifact, change func(*machine.Asked)) {
-	apply := func(asked map[machine.Artifact]*machine.Asked) {
-		of := asked[a]
-		if of == nil {
-			of = &machine.Asked{Artifact: a}
-			asked[a] = of
-		}
-		change(of)
-	}
-	apply(r.asked)
+	change(askedOf(r.asked, a))
 	for _, p := range r.members.peers {
-		apply(p.asked)
+		change(askedOf(p.asked, a))
 	}
 }
 
+// askedOf returns the account of an artifact's demand, a new one if there is none.
+func askedOf(asked map[machine.Artifact]*machine.Asked, a machine.Artifact) *machine.Asked {
+	of := asked[a]
+	if of == nil {
+		of = &machine.Asked{Artifact: a}
+		asked[a] = of
+	}
+	return of
+}
+
 // apply notes whether a peer has got a report.
 func (m delivered) apply(r *routing, _ clock.Instant) {
 	p := r.members.peers[m.node]
@@ -289,10 +293,14 @@
 	}
 }
 
-// apply takes over a peer's report.
+// apply takes over a peer's report. A peer that has just started is known by its report before its entry in the store is
+// read.
 func (m peerReported) apply(r *routing, now clock.Instant) {
 	in := m.report
 	p := r.members.peers[in.Node]
+	if in.Node != r.node && (p == nil || in.Boot > p.Boot) {
+		p = r.addPeer(in.Node, nodeEntry{Address: in.Address, Boot: in.Boot}, now)
+	}
 	if p == nil || p.Boot != in.Boot || in.Sequence <= p.sequence {
 		return
 	}
--- a/node/entry/members_test.go
+++ b/node/entry/members_test.go
@@ -77,6 +77,23 @@
 	}
 }
 
+// TestRestartedPeerIsKnownByItsReport guards the time after a restart of all VMs: they hear each other before the store's
+// watch shows their entries. A report of an earlier start changes nothing.
+func TestRestartedPeerIsKnownByItsReport(t *testing.T) {
+	b := newBench()
+	b.serve()
+	b.join("n2", 5)
+	b.apply(peerReported{report: link.Report{Node: "n2", Address: "10.0.0.9:7600", Boot: 9, Sequence: 1}})
+	b.apply(peerReported{report: link.Report{Node: "n2", Address: "10.0.0.2:7600", Boot: 5, Sequence: 7}})
+	if p := b.members.peers["n2"]; p.Boot != 9 || p.Address != "10.0.0.9:7600" || p.sequence != 1 {
+		t.Errorf("peer %+v", p.nodeEntry)
+	}
+	b.apply(peerReported{report: link.Report{Node: "n1", Address: "10.0.0.1:7600", Boot: 9, Sequence: 1}})
+	if len(b.members.peers) != 1 {
+		t.Error("the VM takes itself for a peer")
+	}
+}
+
 // TestStrikesAreToldOnce guards innocent requests: one broken run counts once at each peer, however many reports follow.
 func TestStrikesAreToldOnce(t *testing.T) {
 	b := newBench()
