Report changed loads and totals only

Cause: each full report repeated all loads and the totals of all organisations.

Ruled out: a longer period; the choice of runners then works on older loads.

Change: a report carries the loads and totals that changed since the last one; all of them go out to a new peer, after a report without an answer, and every 5 s. Urgent reports need no exception any more.

--- a/fleet/link/link.go
+++ b/fleet/link/link.go
@@ -50,24 +50,28 @@
 
 // Runner is the link to one runner.
 type Runner struct {
+	id       machine.RunnerID
 	boot     int64
 	total    *total
 	own      map[machine.Artifact]*Load
-	failures float64 // decayed share of failed answers
+	changed  map[machine.Place]bool // of the table: own loads that the peers have not been told
+	failures float64                // decayed share of failed answers
 	avoid    clock.Instant
 	slowness float64 // decayed ratio of the time to the first event to the expected time
 	cached   *prefixes
 }
 
-func newRunner(boot int64, t *total) *Runner {
-	return &Runner{boot: boot, total: t, own: make(map[machine.Artifact]*Load), slowness: 1, cached: newPrefixes()}
+func newRunner(r *machine.Runner, t *total, changed map[machine.Place]bool) *Runner {
+	return &Runner{
+		id: r.ID, boot: r.Boot, total: t, own: make(map[machine.Artifact]*Load), changed: changed, slowness: 1, cached: newPrefixes(),
+	}
 }
 
 // Sent counts a request that goes out.
-func (l *Runner) Sent(r machine.RunnerID, a machine.Artifact, prefill time.Duration) {
+func (l *Runner) Sent(a machine.Artifact, prefill time.Duration) {
 	load := l.own[a]
 	if load == nil {
-		load = &Load{Runner: r, Artifact: a}
+		load = &Load{Runner: l.id, Artifact: a}
 		l.own[a] = load
 	}
 	l.change(load, 1, prefill)
@@ -78,12 +82,13 @@
 	load.Running += running
 	load.Queued += queued
 	l.total.add(load.Artifact, running, queued)
+	l.changed[machine.Place{Runner: l.id, Artifact: load.Artifact}] = true
 }
 
 // close takes this VM's loads out of the total: the runner is gone or has started anew.
 func (l *Runner) close() {
 	for _, load := range l.own {
-		l.total.add(load.Artifact, -load.Running, -load.Queued)
+		l.change(load, -load.Running, -load.Queued)
 	}
 }
 
--- a/fleet/link/report.go
+++ b/fleet/link/report.go
@@ -14,9 +14,9 @@
 	Boot     int64  // Unix nanoseconds of the process's start
 	Sequence uint64
 	Stopping bool
-	Full     bool // Loads and Spent are included; urgent reports leave them out
+	Whole    bool // Loads are all that the node has; otherwise those that changed since its last report
 	Loads    []Load
-	Spent    []Spent
+	Spent    []Spent // of organisations whose total has changed
 	Asked    []machine.Asked
 	Struck   []uint64 // digests of requests whose run broke off since the last report
 
--- a/fleet/link/table.go
+++ b/fleet/link/table.go
@@ -1,7 +1,9 @@
 package link
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/mangopass/mangopass/duty/clock"
@@ -45,18 +47,19 @@
 // Table is the set of links from one entry VM to the runners, with the load that its peers report. The totals are kept
 // with each change, since a choice looks at every runner.
 type Table struct {
-	links  map[machine.RunnerID]*Runner
-	totals map[machine.RunnerID]*total
-	peers  map[string][]Load // by node
-	zones  zone.Map
-	rand   *rand.Rand
+	links   map[machine.RunnerID]*Runner
+	totals  map[machine.RunnerID]*total
+	peers   map[string]map[machine.Place]Load // by node
+	changed map[machine.Place]bool            // own loads that changed since they were last taken
+	zones   zone.Map
+	rand    *rand.Rand
 }
 
 // NewTable returns an empty table.
 func NewTable(zones zone.Map, r *rand.Rand) *Table {
 	return &Table{
-		links: make(map[machine.RunnerID]*Runner), totals: make(map[machine.RunnerID]*total), peers: make(map[string][]Load),
-		zones: zones, rand: r,
+		links: make(map[machine.RunnerID]*Runner), totals: make(map[machine.RunnerID]*total),
+		peers: make(map[string]map[machine.Place]Load), changed: make(map[machine.Place]bool), zones: zones, rand: r,
 	}
 }
 
@@ -69,7 +72,7 @@
 	if l != nil {
 		l.close()
 	}
-	l = newRunner(r.Boot, t.total(r.ID))
+	l = newRunner(r, t.total(r.ID), t.changed)
 	t.links[r.ID] = l
 	return l
 }
@@ -89,19 +92,32 @@
 	}
 }
 
-// SetPeer replaces what a peer has at the runners; nil forgets the peer.
+// SetPeer replaces all that a peer has at the runners; nil forgets the peer.
 func (t *Table) SetPeer(node string, loads []Load) {
 	for _, load := range t.peers[node] {
 		t.total(load.Runner).add(load.Artifact, -load.Running, -load.Queued)
 	}
-	if loads == nil {
-		delete(t.peers, node)
-		return
+	delete(t.peers, node)
+	t.UpdatePeer(node, loads)
+}
+
+// UpdatePeer replaces some of what a peer has at the runners. A load without requests has ended.
+func (t *Table) UpdatePeer(node string, loads []Load) {
+	of := t.peers[node]
+	if of == nil && len(loads) > 0 {
+		of = make(map[machine.Place]Load, len(loads))
+		t.peers[node] = of
 	}
 	for _, load := range loads {
-		t.total(load.Runner).add(load.Artifact, load.Running, load.Queued)
+		place := machine.Place{Runner: load.Runner, Artifact: load.Artifact}
+		before := of[place]
+		t.total(load.Runner).add(load.Artifact, load.Running-before.Running, load.Queued-before.Queued)
+		if load.Running == 0 {
+			delete(of, place)
+		} else {
+			of[place] = load
+		}
 	}
-	t.peers[node] = loads
 }
 
 // Own returns what this node has at the runners.
@@ -115,6 +131,21 @@
 	return out
 }
 
+// OwnAt returns what this node has at a place; a load without requests if nothing.
+func (t *Table) OwnAt(p machine.Place) Load {
+	if l := t.links[p.Runner]; l != nil && l.own[p.Artifact] != nil {
+		return *l.own[p.Artifact]
+	}
+	return Load{Runner: p.Runner, Artifact: p.Artifact}
+}
+
+// TakeChanged returns the places of the own loads that changed since the last call.
+func (t *Table) TakeChanged() []machine.Place {
+	places := slices.Collect(maps.Keys(t.changed))
+	clear(t.changed)
+	return places
+}
+
 // Running implements machine.Usage.
 func (t *Table) Running(p machine.Place) int {
 	if sum := t.totals[p.Runner]; sum != nil {
--- a/node/entry/admission.go
+++ b/node/entry/admission.go
@@ -183,7 +183,7 @@
 		a.expected = 0
 	}
 	a.silence = silenceFor(route, a, c.deadline.Sub(now))
-	r.table.To(runner).Sent(runner.ID, c.artifact, choice.Prefill)
+	r.table.To(runner).Sent(c.artifact, choice.Prefill)
 	r.log.Info("sent", "request", c.request.ID, "route", route.Name, "runner", runner.ID, "model", c.artifact.Model,
 		"adapter", c.artifact.Adapter, "attempt", c.sends, "queued_ms", choice.Wait.Milliseconds(),
 		"waited_ms", now.Sub(c.request.Arrived).Milliseconds(), "manifest", r.manifest.Version)
--- a/node/entry/members.go
+++ b/node/entry/members.go
@@ -32,6 +32,8 @@
 	reportsMissed = 4
 	// forgetAfter is the time without a report after which a peer without an entry is forgotten.
 	forgetAfter = 2 * time.Second
+	// wholePeriod is the time after which a peer is told all loads again, so that whatever it has missed lasts no longer.
+	wholePeriod = 5 * time.Second
 	// meshSize is the number of entry VMs up to which each reports to each other at the full rate. Beyond, the periods grow
 	// with the number, so that what a VM sends in a second stays the same.
 	meshSize = 8
@@ -53,13 +55,16 @@
 	sequence uint64 // of its last report; zero: none has come
 	stopping bool
 	sentAt   clock.Instant
-	fullAt   clock.Instant                       // the last report with loads and spent limits was sent
 	busy     bool                                // a report is on its way
 	urgent   bool                                // a report is due before its period
 	version  uint64                              // of this VM's accounts that it has
 	asked    map[machine.Artifact]*machine.Asked // demand that it has not been told
 	wishes   []machine.Wish
-	struck   []uint64 // digests of broken runs that it has not been told
+	struck   []uint64                              // digests of broken runs that it has not been told
+	whole    bool                                  // it needs all loads, not just those that changed
+	wholeAt  clock.Instant                         // all loads were last sent
+	changed  map[machine.Place]bool                // loads that it has not been told
+	spent    map[contract.OrganisationName]float64 // totals that it has been told
 }
 
 // members is what this VM knows of the other entry VMs.
@@ -153,6 +158,7 @@
 	r.dropPeer(name, now)
 	p := &peer{
 		nodeEntry: e, outbox: ring.New[link.Report]("report", 1), heard: now, asked: make(map[machine.Artifact]*machine.Asked),
+		whole: true, changed: make(map[machine.Place]bool), spent: make(map[contract.OrganisationName]float64),
 	}
 	for _, c := range r.waiting {
 		if c.waiting {
@@ -184,8 +190,11 @@
 		q.SetShare(share, now)
 	}
 	r.giver.placer.Observe(r.node, r.takeAsked(r.asked, now), now)
-	var loads []link.Load
+	changed := r.table.TakeChanged()
 	for name, p := range r.members.peers {
+		for _, place := range changed {
+			p.changed[place] = true
+		}
 		if !p.listed && now.Sub(p.heard) > forgetAfter {
 			r.dropPeer(name, now)
 			continue
@@ -200,36 +209,55 @@
 		if p.busy || now.Sub(p.sentAt) < period {
 			continue
 		}
-		if loads == nil {
-			loads = r.table.Own()
-		}
-		r.reportTo(name, p, loads, now)
+		r.reportTo(name, p, now)
 	}
 }
 
-func (r *routing) reportTo(name string, p *peer, loads []link.Load, now clock.Instant) {
+func (r *routing) reportTo(name string, p *peer, now clock.Instant) {
 	r.members.sequence++
+	if p.whole = p.whole || now.Sub(p.wholeAt) > wholePeriod; p.whole {
+		p.wholeAt = now
+	}
 	report := link.Report{
 		Node: r.node, Address: r.address, Boot: r.boot, Sequence: r.members.sequence, Stopping: r.stopping, Struck: p.struck,
-		Full: now.Sub(p.fullAt) >= reportPeriod*r.members.stretch(),
-	}
-	if report.Full {
-		report.Loads = loads
-		for organisation, q := range r.quotas {
-			report.Spent = append(report.Spent, link.Spent{
-				Organisation: organisation, Total: q.Own(), Level: q.Level(now), Heard: q.Heard(name, p.Boot),
-			})
-		}
-		p.fullAt = now
+		Whole: p.whole, Loads: r.loadsFor(p), Spent: r.spentFor(name, p, now), Asked: r.takeAsked(p.asked, now),
 	}
-	report.Asked = r.takeAsked(p.asked, now)
 	r.addAccounts(&report, p, now)
 	p.struck = nil
-	if p.outbox.TryPush(report) {
+	if p.whole = !p.outbox.TryPush(report); !p.whole {
 		p.busy, p.urgent, p.sentAt = true, false, now
 	}
 }
 
+// loadsFor returns the loads that a peer has not been told.
+func (r *routing) loadsFor(p *peer) []link.Load {
+	var loads []link.Load
+	if p.whole {
+		loads = r.table.Own()
+	} else {
+		for place := range p.changed {
+			loads = append(loads, r.table.OwnAt(place))
+		}
+	}
+	clear(p.changed)
+	return loads
+}
+
+// spentFor returns what was admitted here for the organisations whose totals a peer has not been told.
+func (r *routing) spentFor(name string, p *peer, now clock.Instant) []link.Spent {
+	var spent []link.Spent
+	for organisation, q := range r.quotas {
+		if told, ok := p.spent[organisation]; !p.whole && ok && told == q.Own() {
+			continue
+		}
+		p.spent[organisation] = q.Own()
+		spent = append(spent, link.Spent{
+			Organisation: organisation, Total: q.Own(), Level: q.Level(now), Heard: q.Heard(name, p.Boot),
+		})
+	}
+	return spent
+}
+
 // takeAsked returns the demand since the last call and starts anew.
 func (r *routing) takeAsked(asked map[machine.Artifact]*machine.Asked, now clock.Instant) []machine.Asked {
 	r.judgeWaiting(asked, now)
@@ -290,6 +318,8 @@
 	p.busy = false
 	if m.ok {
 		p.version = m.version
+	} else {
+		p.whole = true // it may have taken some of the report, or none
 	}
 }
 
@@ -305,8 +335,10 @@
 		return
 	}
 	p.sequence, p.heard, p.stopping = in.Sequence, now, in.Stopping
-	if in.Full {
-		r.table.SetPeer(in.Node, append([]link.Load{}, in.Loads...))
+	if in.Whole {
+		r.table.SetPeer(in.Node, in.Loads)
+	} else {
+		r.table.UpdatePeer(in.Node, in.Loads)
 	}
 	for _, s := range in.Spent {
 		if o := r.organisation(contract.OrganisationName(s.Organisation)); o != nil && o.Limit.PerSecond > 0 {
