Leave 800 ms between two watches of the store

Ruled out: longer waits within a watch; it never waits long.

Change: the pause is 800 ms instead of 500.

--- a/node/entry/watch.go
+++ b/node/entry/watch.go
@@ -17,7 +17,7 @@
 	// watchWait is the longest wait of one watch call. Each return proves the manifest's freshness at its sending.
 	watchWait = 1500 * time.Millisecond
 	// watchPause is the time between the return of a watch and the next call, so that frequent changes come in batches.
-	watchPause = 500 * time.Millisecond
+	watchPause = 800 * time.Millisecond
 	// retryPause is the time between calls while the store does not answer.
 	retryPause = 250 * time.Millisecond
 	// outageAfter is the time without an answer from which the store counts as having been away.
