--- a/cmd/mangopassd/main.go
+++ b/cmd/mangopassd/main.go
@@ -1,4 +1,5 @@
-// Command mangopassd runs one process of mangopass: entry on an entry VM. check validates a settings file.
+// Command mangopassd runs one process of mangopass: entry on an entry VM. check validates a settings file, settings lists
+// the fields of one.
 //
 // Exit codes: 0 after a planned stop that cut no request, 1 if it could not serve or had to cut requests, 2 on faulty
 // settings or arguments.
@@ -40,6 +41,14 @@
 
 type checkCommand struct{ settingsOption }
 
+type settingsCommand struct{}
+
+// Execute implements flags.Commander.
+func (settingsCommand) Execute([]string) error {
+	fmt.Print(settings.Table())
+	return nil
+}
+
 // Execute implements flags.Commander.
 func (c *entryCommand) Execute([]string) error {
 	s, text, err := settings.Load(c.Settings)
@@ -49,11 +58,10 @@
 	sink := logs.NewSink()
 	writer := duty.NewGroup(context.Background())
 	writer.Go("log", func(context.Context) { sink.Run(os.Stdout) })
-	log := sink.Logger().With("node", s.ID)
 	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
-	cut, err := entry.New(s, c.Settings, text, log).Run(stop)
-	log.Info("stopped", "cut_requests", cut, "dropped_log_lines", sink.Dropped())
+	cut, err := entry.New(s, c.Settings, text, sink).Run(stop)
+	sink.Logger().Info("stopped", "node", s.ID, "cut_requests", cut, "dropped_log_lines", sink.Dropped())
 	sink.Close()
 	writer.Stop()
 	if err != nil {
@@ -81,6 +89,7 @@
 	}{
 		{"entry", "serve callers on an entry VM", &entryCommand{}},
 		{"check", "validate a settings file", &checkCommand{}},
+		{"settings", "list the fields of a settings file", &settingsCommand{}},
 	} {
 		if _, err := parser.AddCommand(c.name, c.what, c.what, c.command); err != nil {
 			panic(err)
--- a/cmd/processtest/program_test.go
+++ b/cmd/processtest/program_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"syscall"
 	"testing"
@@ -126,3 +127,49 @@
 		}
 	}
 }
+
+// TestMetricsAreOnThePage guards the operators' page against metrics that it does not name, and against names that a VM
+// does not serve.
+func TestMetricsAreOnThePage(t *testing.T) {
+	d := start(t)
+	call(t, t.Context(), d.Entries[0].Callers, ask{method: "POST", path: "/draft/x", model: "rose", id: "metrics", deadlineMs: 8000})
+	call(t, t.Context(), d.Entries[0].Callers, ask{method: "GET", path: "/none", id: "refused", deadlineMs: 8000})
+	time.Sleep(1200 * time.Millisecond) // for the gauges
+	var text strings.Builder
+	for _, e := range d.Entries { // one gives the orders, the other has the requests
+		resp, err := fresh.Get("http://" + e.Metrics + "/metrics")
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, err = io.Copy(&text, resp.Body)
+		_ = resp.Body.Close()
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	served := names(text.String(), `(?m)^# TYPE (mangopass_\w+)`)
+	named := names(string(page), "(?m)`(mangopass_\\w+)")
+	for name := range served {
+		if !named[name] {
+			t.Errorf("%s is not on the page", name)
+		}
+	}
+	for name := range named {
+		if !served[name] {
+			t.Errorf("%s is on the page and not served", name)
+		}
+	}
+}
+
+// names collects the first group of each match.
+func names(text, pattern string) map[string]bool {
+	out := map[string]bool{}
+	for _, m := range regexp.MustCompile(pattern).FindAllStringSubmatch(text, -1) {
+		out[m[1]] = true
+	}
+	return out
+}
--- a/node/entry/admission.go
+++ b/node/entry/admission.go
@@ -276,6 +276,7 @@
 		"detail", refusal.Detail, "model", c.artifact.Model, "waited_ms", now.Sub(c.request.Arrived).Milliseconds(),
 		"manifest", version, "manifest_age_ms", r.freshness.Age(now).Milliseconds())
 	r.metrics.refused.WithLabelValues(string(refusal.Code)).Inc()
+	r.metrics.request.WithLabelValues("refused").Observe(now.Sub(c.request.Arrived).Seconds())
 	c.decisions.TryPush(decision{refusal: refusal})
 }
 
@@ -289,4 +290,5 @@
 	}
 	r.log.Info("caller gone", "request", c.request.ID, "sends", c.sends, "waited_ms", now.Sub(c.request.Arrived).Milliseconds())
 	r.metrics.results.WithLabelValues(resultGone.String()).Inc()
+	r.metrics.request.WithLabelValues(resultGone.String()).Observe(now.Sub(c.request.Arrived).Seconds())
 }
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -17,6 +17,7 @@
 	"github.com/mangopass/mangopass/duty"
 	"github.com/mangopass/mangopass/duty/ring"
 	"github.com/mangopass/mangopass/fleet/machine"
+	"github.com/mangopass/mangopass/node/logs"
 	"github.com/mangopass/mangopass/node/metrics"
 	"github.com/mangopass/mangopass/node/rpclink"
 	"github.com/mangopass/mangopass/node/settings"
@@ -46,6 +47,7 @@
 	settings *settings.Entry
 	path     string // of the settings file
 	text     string // of the settings file at the start
+	sink     *logs.Sink
 	log      *slog.Logger
 	group    *duty.Group
 	routing  *routing
@@ -54,9 +56,10 @@
 	cutoff   context.CancelFunc
 }
 
-// New builds the process without starting it. path and text are those of the settings file, which is reread.
-func New(s *settings.Entry, path, text string, log *slog.Logger) *Entry {
-	return &Entry{settings: s, path: path, text: text, log: log}
+// New builds the process without starting it; it logs into sink. path and text are those of the settings file, which is
+// reread.
+func New(s *settings.Entry, path, text string, sink *logs.Sink) *Entry {
+	return &Entry{settings: s, path: path, text: text, sink: sink, log: sink.Logger().With("node", s.ID)}
 }
 
 // Run serves until stop ends and the planned stop is done. It returns the number of requests that the stop cut.
@@ -65,12 +68,11 @@
 	registry := metrics.NewRegistry()
 	e.group = duty.NewGroup(context.Background())
 	e.routing = newRouting(e.settings, boot, e.log, newMetrics(registry))
-	metrics.ObserveRing(registry, e.routing.intake)
 	runners := platform.NewRunners()
 	cutoff, cancel := context.WithCancel(context.Background())
 	e.cutoff = cancel
 	e.callers = &callers{routing: e.routing.intake, runners: runners, bodyLimit: &e.routing.bodyMax, cutoff: cutoff}
-	e.join(runners, boot)
+	e.join(runners, registry, boot)
 	if err := e.listen(registry); err != nil {
 		e.group.Stop()
 		return 0, err
@@ -81,12 +83,17 @@
 }
 
 // join connects the duties by their rings and starts them.
-func (e *Entry) join(runners *platform.Runners, boot int64) {
+func (e *Entry) join(runners *platform.Runners, registry *prometheus.Registry, boot int64) {
 	store := platform.NewStore(e.settings.Store)
+	observeStore(registry, store)
 	r := e.routing
 	r.giver.orders = ring.New[orderJob]("orders", ordersRing)
 	r.giver.claims = ring.New[claim]("claims", 2*machine.Shards)
 	r.members.connect = e.connect
+	metrics.ObserveRing(registry, r.intake)
+	metrics.ObserveRing(registry, r.giver.orders)
+	metrics.ObserveRing(registry, r.giver.claims)
+	e.sink.Observe(registry)
 	e.group.Go("routing", r.run)
 	for range orderDuties {
 		e.group.Go("orders", (&orders{runners: runners, jobs: r.giver.orders, routing: r.intake}).run)
--- a/node/entry/members.go
+++ b/node/entry/members.go
@@ -89,13 +89,18 @@
 // share returns the part of the entry VMs that this one hears, itself included. A peer that is only listed in the store
 // counts as not heard: after a restart of all VMs each would otherwise admit a whole limit.
 func (m *members) share(now clock.Instant) float64 {
-	heard := 1
+	return float64(1+m.heard(now)) / float64(m.count())
+}
+
+// heard returns the number of peers that have reported lately.
+func (m *members) heard(now clock.Instant) int {
+	n := 0
 	for _, p := range m.peers {
 		if p.sequence > 0 && now.Sub(p.heard) < m.silence() {
-			heard++
+			n++
 		}
 	}
-	return float64(heard) / float64(m.count())
+	return n
 }
 
 // takeOwn applies changes of mangopass's own keys.
--- a/node/entry/metrics.go
+++ b/node/entry/metrics.go
@@ -1,9 +1,13 @@
 package entry
 
 import (
+	"time"
+
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/mangopass/mangopass/duty/clock"
 	"github.com/mangopass/mangopass/node/metrics"
+	"github.com/mangopass/mangopass/platform"
 )
 
 // entryMetrics are the collectors of an entry VM.
@@ -13,9 +17,20 @@
 	refused    *prometheus.CounterVec
 	orders     *prometheus.CounterVec
 	firstEvent prometheus.Histogram
+	request    *prometheus.HistogramVec
 	manifest   prometheus.Gauge
+	proofAge   prometheus.Gauge
+	runners    *prometheus.GaugeVec
+	peers      *prometheus.GaugeVec
+	shards     prometheus.Gauge
+	waiting    prometheus.Gauge
+	planner    prometheus.Gauge
+	gaugedAt   clock.Instant
 }
 
+// gaugePeriod is the time between two updates of the gauges.
+const gaugePeriod = time.Second
+
 func newMetrics(r prometheus.Registerer) *entryMetrics {
 	m := &entryMetrics{
 		sent: prometheus.NewCounter(prometheus.CounterOpts{
@@ -34,10 +49,64 @@
 			Namespace: metrics.Namespace, Name: "first_event_seconds", Help: "Time from sending to the first event of a stream.",
 			Buckets: prometheus.ExponentialBuckets(0.02, 1.8, 12),
 		}),
-		manifest: prometheus.NewGauge(prometheus.GaugeOpts{
-			Namespace: metrics.Namespace, Name: "manifest_version", Help: "Version of the manifest in force.",
-		}),
+		request: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: metrics.Namespace, Name: "request_seconds", Help: "Time from a request's arrival to its end by outcome.",
+			Buckets: prometheus.ExponentialBuckets(0.01, 2, 12),
+		}, []string{"outcome"}),
+		manifest: newGauge("manifest_version", "Version of the manifest in force."),
+		proofAge: newGauge("manifest_proof_age_seconds", "Age of the proof that the manifest is the newest."),
+		runners: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Namespace: metrics.Namespace, Name: "runners", Help: "Known runners by state.",
+		}, []string{"state"}),
+		peers: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Namespace: metrics.Namespace, Name: "peers", Help: "Other entry VMs by whether they are heard.",
+		}, []string{"state"}),
+		shards:  newGauge("shards_held", "Shards of runners whose orders this VM gives."),
+		waiting: newGauge("requests_waiting", "Requests that wait for a replica."),
+		planner: newGauge("planner", "1 if this VM decides on placement."),
 	}
-	r.MustRegister(m.sent, m.results, m.refused, m.orders, m.firstEvent, m.manifest)
+	r.MustRegister(m.sent, m.results, m.refused, m.orders, m.firstEvent, m.request, m.manifest, m.proofAge, m.runners, m.peers,
+		m.shards, m.waiting, m.planner)
 	return m
 }
+
+func newGauge(name, help string) prometheus.Gauge {
+	return prometheus.NewGauge(prometheus.GaugeOpts{Namespace: metrics.Namespace, Name: name, Help: help})
+}
+
+// gauge updates the gauges of what this VM believes, once a period.
+func (r *routing) gauge(now clock.Instant) {
+	m := r.metrics
+	if now.Sub(m.gaugedAt) < gaugePeriod {
+		return
+	}
+	m.gaugedAt = now
+	m.proofAge.Set(r.freshness.Age(now).Seconds())
+	usable := 0
+	for _, runner := range r.fleet.All() {
+		if runner.Usable(now) {
+			usable++
+		}
+	}
+	m.runners.WithLabelValues("usable").Set(float64(usable))
+	m.runners.WithLabelValues("leaving").Set(float64(len(r.fleet.All()) - usable))
+	heard := r.members.heard(now)
+	m.peers.WithLabelValues("heard").Set(float64(heard))
+	m.peers.WithLabelValues("silent").Set(float64(len(r.members.peers) - heard))
+	m.shards.Set(float64(r.giver.held(now)))
+	m.waiting.Set(float64(len(r.waiting)))
+	m.planner.Set(0)
+	if r.members.planner == r.node {
+		m.planner.Set(1)
+	}
+}
+
+// observeStore registers the calls to the store by outcome.
+func observeStore(r prometheus.Registerer, store *platform.Store) {
+	for _, o := range platform.Outcomes() {
+		r.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Namespace: metrics.Namespace, Name: "store_calls_total", Help: "Calls to the platform's store by outcome.",
+			ConstLabels: prometheus.Labels{"outcome": o.String()},
+		}, func() float64 { return float64(store.Calls(o)) }))
+	}
+}
--- a/node/entry/routing.go
+++ b/node/entry/routing.go
@@ -115,6 +115,7 @@
 	r.considerTerms(now)
 	r.giveOrders(now)
 	r.report(now)
+	r.gauge(now)
 	r.ready.Store(r.isReady(now))
 }
 
--- a/node/entry/settle.go
+++ b/node/entry/settle.go
@@ -43,6 +43,7 @@
 		c.runs++
 	}
 	if m.final {
+		r.metrics.request.WithLabelValues(m.result.String()).Observe(now.Sub(c.request.Arrived).Seconds())
 		return
 	}
 	if m.result != resultNoReplica { // it may well hold the model a moment later
--- a/node/logs/logs.go
+++ b/node/logs/logs.go
@@ -8,7 +8,10 @@
 	"log/slog"
 	"sync/atomic"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"github.com/mangopass/mangopass/duty/ring"
+	"github.com/mangopass/mangopass/node/metrics"
 )
 
 // ringLines bounds the lines that wait for the output; batchLines those written at once.
@@ -37,6 +40,14 @@
 	return len(line), nil
 }
 
+// Observe registers the number of dropped lines and the depth of the sink's ring.
+func (s *Sink) Observe(r prometheus.Registerer) {
+	metrics.ObserveRing(r, s.lines)
+	r.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Namespace: metrics.Namespace, Name: "log_lines_dropped_total", Help: "Log lines that found the ring full or the output broken.",
+	}, func() float64 { return float64(s.dropped.Load()) }))
+}
+
 // Dropped returns the number of lines that found the ring full.
 func (s *Sink) Dropped() int64 { return s.dropped.Load() }
 
--- a/node/metrics/metrics.go
+++ b/node/metrics/metrics.go
@@ -1,4 +1,4 @@
-// Package metrics holds the Prometheus collectors that both roles share.
+// Package metrics holds the Prometheus collectors that the packages of a process share.
 package metrics
 
 import (
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"reflect"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -14,39 +16,39 @@
 	"github.com/mangopass/mangopass/fleet/zone"
 )
 
-// Entry holds the settings of mangopassd entry.
+// Entry holds the settings of mangopassd entry. The doc tags make the table of settings.
 type Entry struct {
-	ID     string `json:"id"`     // unique among all VMs
-	IP     string `json:"ip"`     // address of this VM
-	Zone   string `json:"zone"`   // one of zones
-	Ports  []int  `json:"ports"`  // first and last port for calls between entry VMs
-	Store  string `json:"store"`  // IP:port of the platform's store
-	Listen Listen `json:"listen"` // addresses for callers and the platform
-	Rules  Rules  `json:"rules"`  // bounds that the operators set
-
-	Zones zone.Map `json:"zones"` // region of each zone
+	ID     string `json:"id" doc:"name of the VM, unique"`
+	IP     string `json:"ip" doc:"address of this VM"`
+	Zone   string `json:"zone" doc:"zone of this VM, one of zones"`
+	Ports  []int  `json:"ports" doc:"first and last port for calls between VMs; the first takes reports"`
+	Store  string `json:"store" doc:"IP:port of the platform's store"`
+	Listen Listen `json:"listen"`
+	Rules  Rules  `json:"rules"`
+
+	Zones zone.Map `json:"zones" doc:"region of each zone"`
 }
 
 // Listen holds the addresses on which an entry VM listens, as IP:port.
 type Listen struct {
-	Callers string `json:"callers"`           // requests in the platform's form
-	Ready   string `json:"ready"`             // readiness probe
-	API     string `json:"api,omitempty"`     // OpenAI-style requests; empty: not served
-	Metrics string `json:"metrics,omitempty"` // metrics and status; empty: the last of ports on ip
+	Callers string `json:"callers" doc:"IP:port for requests in the platform's form"`
+	Ready   string `json:"ready" doc:"IP:port for the readiness probe"`
+	API     string `json:"api,omitempty" doc:"IP:port of the OpenAI-style front end; empty: not served"`
+	Metrics string `json:"metrics,omitempty" doc:"IP:port of metrics and status; empty: the last of ports"`
 }
 
 // Rules holds the operators' bounds.
 type Rules struct {
-	RevokeMs     int     `json:"revoke_ms"`      // a withdrawn key must stop working within
-	GraceS       float64 `json:"grace_s"`        // a planned stop may take
-	LeaseMs      int     `json:"lease_ms"`       // pause between the orders of two order givers
-	MinLeaseMs   int     `json:"min_lease_ms"`   // shortest lease of the store
-	RetryRatio   float64 `json:"retry_ratio"`    // repeats for each request, over all entry VMs
-	RetryExtra   float64 `json:"retry_extra"`    // repeats beyond that
-	RetryWindowS float64 `json:"retry_window_s"` // window of both
-	QuotaOver    float64 `json:"quota_over"`     // share by which a limit may be exceeded
-	QuotaSlack   float64 `json:"quota_slack"`    // tokens beyond it in each window
-	QuotaWindowS float64 `json:"quota_window_s"` // that window
+	RevokeMs     int     `json:"revoke_ms" doc:"a withdrawn key stops working within this time, in ms; keys are honoured for 3/4 of it after a proof"`
+	GraceS       float64 `json:"grace_s" doc:"longest planned stop, in s"`
+	LeaseMs      int     `json:"lease_ms" doc:"pause between the orders of two order givers, in ms"`
+	MinLeaseMs   int     `json:"min_lease_ms" doc:"shortest lease of the store, in ms"`
+	RetryRatio   float64 `json:"retry_ratio" doc:"repeats for each request, over all VMs"`
+	RetryExtra   float64 `json:"retry_extra" doc:"repeats beyond that, over all VMs"`
+	RetryWindowS float64 `json:"retry_window_s" doc:"window of both, in s"`
+	QuotaOver    float64 `json:"quota_over" doc:"share by which a limit may be exceeded"`
+	QuotaSlack   float64 `json:"quota_slack" doc:"tokens or requests beyond that in each window"`
+	QuotaWindowS float64 `json:"quota_window_s" doc:"that window, in s"`
 }
 
 // Defaults of rules that may be left out.
@@ -59,6 +61,13 @@
 	defaultQuotaWindowS = 8
 )
 
+func defaultRules() Rules {
+	return Rules{
+		RevokeMs: defaultRevokeMs, GraceS: defaultGraceS, LeaseMs: defaultLeaseMs, MinLeaseMs: defaultMinLeaseMs,
+		RetryWindowS: defaultRetryWindowS, QuotaWindowS: defaultQuotaWindowS,
+	}
+}
+
 // Revoke returns the time within which a withdrawn key must stop working.
 func (r Rules) Revoke() time.Duration { return time.Duration(r.RevokeMs) * time.Millisecond }
 
@@ -89,10 +98,7 @@
 
 // Parse reads and checks settings. Unknown fields are ignored: the platform adds new ones.
 func Parse(data []byte) (*Entry, error) {
-	s := &Entry{Rules: Rules{
-		RevokeMs: defaultRevokeMs, GraceS: defaultGraceS, LeaseMs: defaultLeaseMs, MinLeaseMs: defaultMinLeaseMs,
-		RetryWindowS: defaultRetryWindowS, QuotaWindowS: defaultQuotaWindowS,
-	}}
+	s := &Entry{Rules: defaultRules()}
 	if err := json.Unmarshal(data, s); err != nil {
 		return nil, errors.Wrap(err, "settings")
 	}
@@ -102,6 +108,46 @@
 	return s, nil
 }
 
+// Field is one setting.
+type Field struct {
+	Name    string // path in the file, with dots
+	Meaning string
+	Default string // empty: the field must be set or may stay empty
+}
+
+// Fields lists all settings in the order of the file.
+func Fields() []Field {
+	return fields(reflect.ValueOf(Entry{Rules: defaultRules()}), "")
+}
+
+func fields(v reflect.Value, prefix string) []Field {
+	var out []Field
+	for i := range v.NumField() {
+		f := v.Type().Field(i)
+		name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+		if f.Type.Kind() == reflect.Struct {
+			out = append(out, fields(v.Field(i), prefix+name+".")...)
+			continue
+		}
+		field := Field{Name: prefix + name, Meaning: f.Tag.Get("doc")}
+		if !v.Field(i).IsZero() {
+			field.Default = fmt.Sprint(v.Field(i).Interface())
+		}
+		out = append(out, field)
+	}
+	return out
+}
+
+// Table returns all settings as a table in Markdown.
+func Table() string {
+	var b strings.Builder
+	b.WriteString("| field | meaning | default |\n|---|---|---|\n")
+	for _, f := range Fields() {
+		fmt.Fprintf(&b, "| `%s` | %s | %s |\n", f.Name, f.Meaning, f.Default)
+	}
+	return b.String()
+}
+
 // Between returns the address for calls between entry VMs, Metrics that of metrics and status.
 func (s *Entry) Between() string { return fmt.Sprintf("%s:%d", s.IP, s.Ports[0]) }
 
