Split reports and demand from the file of the members

A move only: reports to peers with their figures go to reports.go, the accounts of demand to demand.go, and the tests follow.

--- /dev/null
+++ b/node/entry/reports.go
@@ -0,0 +1,155 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/mangopass/mangopass/duty/clock"
+	"github.com/mangopass/mangopass/fleet/contract"
+	"github.com/mangopass/mangopass/fleet/link"
+)
+
+// Figures of the exchange between entry VMs.
+const (
+	// reportPeriod is the usual time between two reports to a peer, urgentPeriod the shortest.
+	reportPeriod = 60 * time.Millisecond
+	urgentPeriod = 8 * time.Millisecond
+	// silentAfter is the time without a report after which a peer counts as cut off.
+	silentAfter = 700 * time.Millisecond
+	// reportsMissed is the number of reports without which a peer counts as cut off at least.
+	reportsMissed = 4
+	// forgetAfter is the time without a report after which a peer without an entry is forgotten.
+	forgetAfter = 2 * time.Second
+	// wholePeriod is the time after which a peer is told all loads again, so that whatever it has missed lasts no longer.
+	wholePeriod = 5 * time.Second
+	// meshSize is the number of entry VMs up to which each reports to each other at the full rate. Beyond, the periods grow
+	// with the number, so that what a VM sends in a second stays the same.
+	meshSize = 8
+)
+
+// report sends the reports that are due.
+func (r *routing) report(now clock.Instant) {
+	share := r.members.share(now)
+	for _, q := range r.quotas {
+		q.SetShare(share, now)
+	}
+	r.giver.placer.Observe(r.node, r.takeAsked(r.asked, now), now)
+	changed := r.table.TakeChanged()
+	for name, p := range r.members.peers {
+		for _, place := range changed {
+			p.changed[place] = true
+		}
+		if !p.listed && now.Sub(p.heard) > forgetAfter {
+			r.dropPeer(name, now)
+			continue
+		}
+		period := reportPeriod * r.members.stretch()
+		switch {
+		case p.urgent:
+			period = urgentPeriod
+		case p.version < r.giver.placer.Version():
+			period = urgentPeriod * r.members.stretch()
+		}
+		if p.busy || now.Sub(p.sentAt) < period {
+			continue
+		}
+		r.reportTo(name, p, now)
+	}
+}
+
+func (r *routing) reportTo(name string, p *peer, now clock.Instant) {
+	r.members.sequence++
+	if p.whole = p.whole || now.Sub(p.wholeAt) > wholePeriod; p.whole {
+		p.wholeAt = now
+	}
+	report := link.Report{
+		Node: r.node, Address: r.address, Boot: r.boot, Sequence: r.members.sequence, Stopping: r.stopping, Struck: p.struck,
+		Whole: p.whole, Loads: r.loadsFor(p), Spent: r.spentFor(name, p, now), Asked: r.takeAsked(p.asked, now),
+	}
+	r.addAccounts(&report, p, now)
+	p.struck = nil
+	if p.whole = !p.outbox.TryPush(report); !p.whole {
+		p.busy, p.urgent, p.sentAt = true, false, now
+	}
+}
+
+// loadsFor returns the loads that a peer has not been told.
+func (r *routing) loadsFor(p *peer) []link.Load {
+	var loads []link.Load
+	if p.whole {
+		loads = r.table.Own()
+	} else {
+		for place := range p.changed {
+			loads = append(loads, r.table.OwnAt(place))
+		}
+	}
+	clear(p.changed)
+	return loads
+}
+
+// spentFor returns what was admitted here for the organisations whose totals a peer has not been told.
+func (r *routing) spentFor(name string, p *peer, now clock.Instant) []link.Spent {
+	var spent []link.Spent
+	for organisation, q := range r.quotas {
+		if told, ok := p.spent[organisation]; !p.whole && ok && told == q.Own() {
+			continue
+		}
+		p.spent[organisation] = q.Own()
+		spent = append(spent, link.Spent{
+			Organisation: organisation, Total: q.Own(), Level: q.Level(now), Heard: q.Heard(name, p.Boot),
+		})
+	}
+	return spent
+}
+
+// apply notes whether a peer has got a report.
+func (m delivered) apply(r *routing, _ clock.Instant) {
+	p := r.members.peers[m.node]
+	if p == nil || p.Boot != m.boot {
+		return
+	}
+	p.busy = false
+	if m.ok {
+		p.version = m.version
+	} else {
+		p.whole = true // it may have taken some of the report, or none
+	}
+}
+
+// apply takes over a peer's report. A peer that has just started is known by its report before its entry in the store is
+// read.
+func (m peerReported) apply(r *routing, now clock.Instant) {
+	in := m.report
+	p := r.members.peers[in.Node]
+	if in.Node != r.node && (p == nil || in.Boot > p.Boot) {
+		p = r.addPeer(in.Node, nodeEntry{Address: in.Address, Boot: in.Boot}, now)
+	}
+	if p == nil || p.Boot != in.Boot || in.Sequence <= p.sequence {
+		return
+	}
+	p.sequence, p.heard, p.stopping = in.Sequence, now, in.Stopping
+	if in.Whole {
+		r.table.SetPeer(in.Node, in.Loads)
+	} else {
+		r.table.UpdatePeer(in.Node, in.Loads)
+	}
+	for _, s := range in.Spent {
+		if o := r.organisation(contract.OrganisationName(s.Organisation)); o != nil && o.Limit.PerSecond > 0 {
+			r.hearSpent(r.quota(o, now), in, s, now)
+		}
+	}
+	for _, digest := range in.Struck {
+		r.strikes.Add(digest, now)
+	}
+	r.giver.placer.Observe(in.Node, in.Asked, now)
+	r.takeAccounts(in, now)
+}
+
+// hearSpent counts what a peer has admitted. Of the first reports that two nodes hear of each other, the younger one's
+// counts from its start, and the younger one takes over the older one's view.
+func (r *routing) hearSpent(q *contract.Quota, in link.Report, s link.Spent, now clock.Instant) {
+	if q.Knows(in.Node, in.Boot) || in.Boot >= r.boot {
+		q.Peer(in.Node, in.Boot, s.Total, now)
+		return
+	}
+	q.Meet(in.Node, in.Boot, s.Total, s.Level, s.Heard, now)
+}
