Say why a model that requests wait for is not loaded

Ruled out: a line for each consideration of the placement, which runs every 20 ms.

Change: the placement tells for each model with waiting requests, once a second, which obstacle its nearest site has; the planner logs it and explain shows it with the last one in the cause.

--- a/fleet/machine/placement.go
+++ b/fleet/machine/placement.go
@@ -80,7 +80,8 @@
 	books     map[RunnerID]*book
 	remotes   map[RunnerID]*remote
 	demands   map[Artifact]*demand
-	planned   clock.Instant // the placement was last considered
+	planned   clock.Instant              // the placement was last considered
+	delayed   map[Artifact]clock.Instant // a delay was last told
 
 	// Of the survey at the start of a plan.
 	standings map[Artifact]*standing
@@ -96,7 +97,7 @@
 func NewPlacer(fleet *Fleet, usage Usage, authority Authority) *Placer {
 	return &Placer{
 		fleet: fleet, usage: usage, authority: authority, books: make(map[RunnerID]*book),
-		remotes: make(map[RunnerID]*remote), demands: make(map[Artifact]*demand),
+		remotes: make(map[RunnerID]*remote), demands: make(map[Artifact]*demand), delayed: make(map[Artifact]clock.Instant),
 		standings: make(map[Artifact]*standing), evictable: make(map[RunnerID][]candidate),
 		reserved: make(map[RunnerID]int), coldBegan: make(map[Place]clock.Instant), changed: make(map[RunnerID]uint64),
 	}
@@ -147,6 +148,7 @@
 	Orders    []Order
 	Questions []*Runner // runners to ask for their state
 	Wishes    []Wish    // for the order givers of other runners
+	Delays    []Delay   // loads that are due and can't begin
 }
 
 // Plan returns the orders, questions and wishes that are due at now. At most one order per runner is unanswered at a
--- a/fleet/machine/sites.go
+++ b/fleet/machine/sites.go
@@ -63,17 +63,65 @@
 	return false
 }
 
+// Obstacle says why a model that is asked for is not loaded now.
+type Obstacle int
+
+// The obstacles, the nearer to a load the later.
+const (
+	NoRunner   Obstacle = iota // no runner that stays and whose account is known lacks the model
+	StoreBusy                  // the runners have no copy, and the weight store is at its limit
+	NoRoom                     // the models that would have to go are waited for
+	TooCostly                  // the models that would have to go are worth more
+	RunnerBusy                 // the best runner loads or runs another model first
+	NoObstacle
+)
+
+// String returns the obstacle's name for logs.
+func (o Obstacle) String() string {
+	return [...]string{"no_runner", "weight_store_busy", "no_room", "too_costly", "runner_busy", "none"}[o]
+}
+
+// Delay is a model for which requests wait and that is not loaded now.
+type Delay struct {
+	Artifact Artifact
+	Obstacle Obstacle
+	Runner   RunnerID // the best site; empty: none
+	Gain     float64  // of the load
+	Lost     float64  // with the models that would have to go, at the runner that came nearest
+}
+
+// delayPeriod is the time between two words about the same model's delay.
+const delayPeriod = time.Second
+
+// delay tells why a model is not loaded, once a period.
+func (p *Placer) delay(d Delay, now clock.Instant, plan *Plan) {
+	if p.standing(d.Artifact).waiting == 0 {
+		return
+	}
+	if told, ok := p.delayed[d.Artifact]; ok && now.Sub(told) < delayPeriod {
+		return
+	}
+	p.delayed[d.Artifact] = now
+	plan.Delays = append(plan.Delays, d)
+}
+
 // place starts a swap that brings a model onto the runner where it is expected first, if the gain is above what is lost.
 // While that runner is busy the model waits for its turn there.
 func (p *Placer) place(a Artifact, gain float64, now clock.Instant, plan *Plan) {
 	var best site
+	delay := Delay{Artifact: a, Gain: gain}
 	for _, r := range p.fleet.All() {
-		if s, ok := p.consider(r, a, gain, now); ok && (best.runner == nil || s.cost < best.cost) {
+		s, obstacle := p.consider(r, a, gain, now)
+		if obstacle > delay.Obstacle {
+			delay.Obstacle, delay.Lost = obstacle, s.lost
+		}
+		if obstacle == NoObstacle && (best.runner == nil || s.cost < best.cost) {
 			best = s
 		}
 	}
 	switch {
 	case best.runner == nil:
+		p.delay(delay, now, plan)
 	case best.now:
 		p.begin(best.runner, a.Model, best.victims, now, plan)
 		if m := p.engine(best.runner).Models[a.Model]; p.loadTime(best.runner, m) == m.LoadCold {
@@ -82,6 +130,7 @@
 		p.standing(a).replicas++
 	default:
 		p.reserved[best.runner.ID]++
+		p.delay(Delay{Artifact: a, Obstacle: RunnerBusy, Runner: best.runner.ID, Gain: gain, Lost: best.lost}, now, plan)
 	}
 }
 
@@ -90,28 +139,32 @@
 	runner  *Runner
 	victims []contract.ModelName
 	cost    float64 // seconds until the model is ready, and what is lost
+	lost    float64 // value of the victims
 	now     bool    // the load can begin now
 }
 
 // consider judges a runner as the place for a model.
-func (p *Placer) consider(r *Runner, a Artifact, gain float64, now clock.Instant) (site, bool) {
+func (p *Placer) consider(r *Runner, a Artifact, gain float64, now clock.Instant) (site, Obstacle) {
 	e := p.engine(r)
 	if r.Service != a.Service || e == nil || !r.Usable(now) || r.LeavesAt != 0 || r.Holds(a.Model) != nil || !p.answers(r, now) {
-		return site{}, false
+		return site{}, NoRunner
 	}
 	model, known := e.Models[a.Model]
 	if !known {
-		return site{}, false
+		return site{}, NoRunner
 	}
 	takes := p.loadTime(r, model)
 	if takes == model.LoadCold && !p.mayLoadCold(e) {
-		return site{}, false
+		return site{}, StoreBusy
 	}
 	ahead := p.reserved[r.ID]
-	s := site{runner: r, now: ahead == 0 && p.idle(r, now)}
 	out, ok := p.evict(r, e, model.WeightsMB, now)
-	if !ok || out.lost >= gain {
-		return site{}, false
+	s := site{runner: r, now: ahead == 0 && p.idle(r, now), lost: out.lost}
+	switch {
+	case !ok:
+		return s, NoRoom
+	case out.lost >= gain:
+		return s, TooCostly
 	}
 	s.victims, s.now = out.victims, s.now && out.now
 	s.cost = out.lost + takes.Seconds() + float64(len(out.victims))*unloadTime.Seconds() + p.usage.Queued(r.ID).Seconds() +
@@ -119,7 +172,7 @@
 	if out.inUse {
 		s.cost += runTime.Seconds()
 	}
-	return s, true
+	return s, NoObstacle
 }
 
 // answers reports whether a runner's account can be relied on: the runner has answered in this term, and since.
--- a/fleet/machine/survey.go
+++ b/fleet/machine/survey.go
@@ -11,6 +11,7 @@
 		d.decay(now)
 		if d.idle() {
 			delete(p.demands, a)
+			delete(p.delayed, a.Base())
 		}
 	}
 	for id := range p.books {
--- a/node/entry/giver.go
+++ b/node/entry/giver.go
@@ -146,6 +146,9 @@
 			g.placer.Reported(q.ID, q.Boot, machine.Contents{}, false, now)
 		}
 	}
+	for _, d := range plan.Delays {
+		r.log.Info("load delayed", "model", d.Artifact.Model, "obstacle", d.Obstacle.String(), "runner", d.Runner, "gain", d.Gain, "lost", d.Lost)
+	}
 	for _, w := range plan.Wishes {
 		owner := g.shards[machine.ShardOf(w.Runner)].owner
 		if p := r.members.peers[owner]; p != nil {
--- a/node/explain/explain.go
+++ b/node/explain/explain.go
@@ -33,6 +33,9 @@
 	Detail     string    `json:"detail,omitempty"`
 	Cause      string    `json:"cause,omitempty"`
 	Planner    string    `json:"planner,omitempty"`
+	Obstacle   string    `json:"obstacle,omitempty"`
+	Gain       float64   `json:"gain,omitempty"`
+	Lost       float64   `json:"lost,omitempty"`
 	Attempt    int       `json:"attempt,omitempty"`
 	WaitedMs   int64     `json:"waited_ms,omitempty"`
 	PatienceMs int64     `json:"patience_ms,omitempty"`
@@ -80,7 +83,7 @@
 	return lines, errors.Wrap(scanner.Err(), "read log")
 }
 
-// Tell returns the story of a request. Orders for its model while it waited are part of it.
+// Tell returns the story of a request. Orders for its model and delays of its load while it waited are part of it.
 func Tell(lines []Line, request string) (Story, error) {
 	var own []Line
 	for _, l := range lines {
@@ -96,12 +99,12 @@
 	model := modelOf(own)
 	told := slices.Clone(own)
 	for _, l := range lines {
-		if l.Message == "order" && model != "" && l.Model == model && !l.Time.Before(first.Time) && !l.Time.After(last.Time) {
+		if (l.Message == "order" || l.Message == "load delayed") && model != "" && l.Model == model && !l.Time.Before(first.Time) && !l.Time.After(last.Time) {
 			told = append(told, l)
 		}
 	}
 	slices.SortStableFunc(told, byTime)
-	story := Story{Request: request, Cause: cause(own)}
+	story := Story{Request: request, Cause: cause(own) + obstacle(told)}
 	for _, l := range told {
 		story.Steps = append(story.Steps, Step{AfterMs: l.Time.Sub(first.Time).Milliseconds(), Node: l.Node, Text: describe(l)})
 	}
@@ -143,10 +146,39 @@
 			text += " (" + l.Cause + ")"
 		}
 		return text
+	case "load delayed":
+		text := fmt.Sprintf("%s is not loaded: %s (gain %.1f, lost %.1f)", artifact(l), obstacles[l.Obstacle], l.Gain, l.Lost)
+		if l.Runner != "" {
+			text += "; its turn is at runner " + l.Runner
+		}
+		return text
 	}
 	return l.Message
 }
 
+// obstacles tells what each obstacle to a load means.
+var obstacles = map[string]string{
+	"no_runner":         "no runner that stays and whose account is known could take it",
+	"weight_store_busy": "no runner has a copy, and the weight store is at its limit",
+	"no_room":           "requests wait for all models that would have to go",
+	"too_costly":        "the models that would have to go are worth more",
+	"runner_busy":       "the best runner is busy with another model",
+}
+
+// obstacle returns the last reason for which the model of a refused request was not loaded, as a sentence.
+func obstacle(told []Line) string {
+	reason := ""
+	for _, l := range told {
+		if l.Message == "load delayed" {
+			reason = obstacles[l.Obstacle]
+		}
+	}
+	if last := told[len(told)-1]; reason == "" || last.Message != "refused" || last.Code != "no_replica" {
+		return ""
+	}
+	return " Last word of the planner: " + reason + "."
+}
+
 func artifact(l Line) string {
 	if l.Adapter != "" {
 		return l.Model + "/" + l.Adapter
