--- a/fleet/contract/quota.go
+++ b/fleet/contract/quota.go
@@ -16,27 +16,47 @@
 
 // Quota is one entry VM's view of the use of an organisation's limit over all entry VMs: a token bucket from which the
 // VM takes the cost of what it admits itself and of what its peers report.
+//
+// Usage spreads along the tree of reports between the VMs: each VM passes on to a neighbour what it has learned from
+// its other neighbours, as a running total for that neighbour.
 type Quota struct {
 	limit     Limit
 	slack     QuotaSlack
 	share     float64 // part of the limit that this VM and the peers it hears from may use, 0 to 1
 	level     float64
 	updatedAt clock.Instant
-	admitted  float64              // cost admitted here since the process started
+	admitted  float64 // cost admitted here since the process started
+	below     float64 // cost admitted here or reported by VMs for which this one relays, since the start
+	all       float64 // cost admitted here or reported by any peer, since the start
+
 	peers     map[string]peerUsage // by name of the peer
+	outlets   map[string]outlet    // neighbours that get a running total, by name
+	delivered map[string]float64   // part of below that the relay of a zone has confirmed, by zone
 }
 
-// peerUsage is the cost that a peer has admitted since its start, which boot identifies.
+// peerUsage is what a peer has reported. series identifies the running total, which starts anew with the peer's
+// process and with each change of its place in the tree.
 type peerUsage struct {
-	boot  int64
-	total float64
+	series int64
+	total  float64 // as last reported
+	grown  float64 // sum of the growth of all its totals
+}
+
+// outlet is the running total for one neighbour.
+type outlet struct {
+	zone  string
+	below bool    // this VM relays for the neighbour
+	base  float64 // subtracted, so that the total starts with what the neighbour does not know yet
 }
 
 // NewQuota returns a quota whose bucket is filled to the share fill of its capacity, from 0 to 1. What the organisation
 // used before the start of the process is unknown, so a process that starts amid traffic must not grant a whole burst
 // again.
 func NewQuota(limit Limit, slack QuotaSlack, fill float64, now clock.Instant) *Quota {
-	q := &Quota{limit: limit, slack: slack, share: 1, updatedAt: now, peers: make(map[string]peerUsage)}
+	q := &Quota{
+		limit: limit, slack: slack, share: 1, updatedAt: now, peers: make(map[string]peerUsage),
+		outlets: make(map[string]outlet), delivered: make(map[string]float64),
+	}
 	q.level = fill * q.capacity()
 	return q
 }
@@ -72,14 +92,21 @@
 		return false
 	}
 	q.level -= cost
-	q.admitted += cost
+	q.count(cost)
 	return true
 }
 
+// count adds to what was admitted here.
+func (q *Quota) count(cost float64) {
+	q.admitted += cost
+	q.below += cost
+	q.all += cost
+}
+
 // Refund returns the cost of a request that was admitted here but never sent to a runner.
 func (q *Quota) Refund(cost float64, now clock.Instant) {
 	q.refill(now)
-	q.admitted -= cost
+	q.count(-cost)
 	q.level = math.Min(q.level+cost, q.capacity())
 }
 
@@ -102,41 +129,93 @@
 	return q.level
 }
 
-// ApplyPeerUsage applies the total cost that a peer has admitted since its start, which boot identifies. Only the
-// growth since the peer's last report is taken from the bucket; after a new start of the peer that is the whole total.
-func (q *Quota) ApplyPeerUsage(peer string, boot int64, total float64, now clock.Instant) {
+// Neighbour describes the VM for which a running total starts.
+type Neighbour struct {
+	Zone  string
+	Below bool // this VM relays for it
+	Fresh bool // its process has started lately, and takes over the level instead of earlier usage
+}
+
+// Connect starts a running total for a neighbour. A relay whose process is not fresh gets what the former relay of its
+// zone or, before there was one, that of this VM's own zone, home, has not confirmed. A VM below knows the rest from the
+// level.
+func (q *Quota) Connect(peer string, n Neighbour, home string) {
+	o := outlet{zone: n.Zone, below: n.Below}
+	delivered, known := q.delivered[n.Zone]
+	switch {
+	case n.Below:
+		o.base = q.all - q.peers[peer].grown
+	case n.Fresh:
+		o.base = q.below
+	case known:
+		o.base = delivered
+	default:
+		o.base = q.delivered[home]
+	}
+	q.outlets[peer] = o
+}
+
+// Disconnect ends the running total for a peer.
+func (q *Quota) Disconnect(peer string) { delete(q.outlets, peer) }
+
+// TotalFor returns the running total for a neighbour: what the neighbour cannot know from elsewhere. For a peer that is
+// not connected it is the cost that was admitted here or reported from below.
+func (q *Quota) TotalFor(peer string) float64 {
+	o := q.outlets[peer]
+	if o.below {
+		return q.all - q.peers[peer].grown - o.base
+	}
+	return q.below - o.base
+}
+
+// Confirm records that a neighbour has received the given running total.
+func (q *Quota) Confirm(peer string, total float64) {
+	if o, ok := q.outlets[peer]; ok && !o.below {
+		q.delivered[o.zone] = o.base + total
+	}
+}
+
+// ApplyPeerUsage applies a peer's running total. Only the growth since its last report is taken from the bucket; in a
+// new series that is the whole total.
+func (q *Quota) ApplyPeerUsage(peer string, series int64, total float64, now clock.Instant) {
 	q.refill(now)
 	last := q.peers[peer]
-	if last.boot != boot {
+	if last.series != series {
 		last.total = 0
 	}
-	q.peers[peer] = peerUsage{boot: boot, total: total}
-	q.level = math.Min(q.level-(total-last.total), q.capacity())
+	growth := total - last.total
+	q.peers[peer] = peerUsage{series: series, total: total, grown: last.grown + growth}
+	q.all += growth
+	if q.outlets[peer].below {
+		q.below += growth
+	}
+	q.level = math.Min(q.level-growth, q.capacity())
 }
 
-// AdoptPeerLevel lowers the level to that of a peer that started before this process, if that is lower. The peer's
-// total does not tell when its requests were admitted, but its level accounts for what all VMs admitted lately. Of the
-// cost admitted here, the peer has counted heard; the rest is deducted.
-func (q *Quota) AdoptPeerLevel(peer string, boot int64, total, level, heard float64, now clock.Instant) {
+// AdoptPeerLevel applies the first running total of a peer that started before this process. The level is lowered to
+// that of the peer, if that is lower: it accounts for what all VMs admitted lately. Of the running total for the peer, it
+// has counted heard; the rest is deducted. A process that has not heard of any peer can't tell when the requests in the
+// peer's total were admitted, so it takes over the level only. The difference is usage that this process did not know
+// of, and is passed on to the VMs below.
+func (q *Quota) AdoptPeerLevel(peer string, series int64, total, level, heard float64, now clock.Instant) {
+	if len(q.peers) > 0 {
+		q.ApplyPeerUsage(peer, series, total, now)
+	}
 	q.refill(now)
-	q.peers[peer] = peerUsage{boot: boot, total: total}
-	q.level = math.Min(q.level, level-(q.admitted-heard))
+	missed := max(0, q.level-(level-(q.TotalFor(peer)-heard)))
+	q.peers[peer] = peerUsage{series: series, total: total, grown: q.peers[peer].grown + missed}
+	q.all += missed
+	q.level -= missed
 }
 
-// KnowsPeer reports whether the last report from the peer was of the start that boot identifies.
-func (q *Quota) KnowsPeer(peer string, boot int64) bool {
+// KnowsPeer reports whether the last report from the peer was of the given series.
+func (q *Quota) KnowsPeer(peer string, series int64) bool {
 	p, known := q.peers[peer]
-	return known && p.boot == boot
+	return known && p.series == series
 }
 
-// PeerTotal returns the total cost that a peer has admitted since its start, as last reported; 0 if it has not
-// reported.
-func (q *Quota) PeerTotal(peer string, boot int64) float64 {
-	if !q.KnowsPeer(peer, boot) {
-		return 0
-	}
-	return q.peers[peer].total
-}
+// PeerTotal returns a peer's running total as last reported; 0 if it has not reported.
+func (q *Quota) PeerTotal(peer string) float64 { return q.peers[peer].total }
 
 func (q *Quota) capacity() float64 { return (q.limit.Burst + q.slack.Burst) * q.share }
 
--- a/fleet/link/link.go
+++ b/fleet/link/link.go
@@ -35,38 +35,21 @@
 	slownessWeight = 0.15
 )
 
-// runnerTotal is the sum of the loads of all entry VMs on one runner.
-type runnerTotal struct {
-	running           int
-	queued            time.Duration
-	runningByArtifact map[machine.Artifact]int // number of running requests; zeros are deleted
-}
-
-// add adds a load, or the change of one, to the sums.
-func (t *runnerTotal) add(a machine.Artifact, running int, queued time.Duration) {
-	t.running += running
-	t.queued += queued
-	if t.runningByArtifact[a] += running; t.runningByArtifact[a] == 0 {
-		delete(t.runningByArtifact, a)
-	}
-}
-
 // RunnerLink holds one entry VM's load, failures and latency of one runner, and the prompt prefixes cached there.
 type RunnerLink struct {
 	id           machine.RunnerID
 	boot         int64 // start of the runner that the link was made for
-	total        *runnerTotal
+	ledger       *ledger
 	ownLoads     map[machine.Artifact]*Load
-	changed      map[machine.Place]bool // shared with the Table: own loads to be reported to the peers
-	failureRate  float64                // moving average of failed answers, from 0 to 1
+	failureRate  float64 // moving average of failed answers, from 0 to 1
 	ejectedUntil clock.Instant
 	slowness     float64 // moving average of the ratio of actual to expected time to the first event; 1: as expected
 	cache        *prefixCache
 }
 
-func newRunnerLink(r *machine.Runner, t *runnerTotal, changed map[machine.Place]bool) *RunnerLink {
+func newRunnerLink(r *machine.Runner, l *ledger) *RunnerLink {
 	return &RunnerLink{
-		id: r.ID, boot: r.Boot, total: t, ownLoads: make(map[machine.Artifact]*Load), changed: changed, slowness: 1,
+		id: r.ID, boot: r.Boot, ledger: l, ownLoads: make(map[machine.Artifact]*Load), slowness: 1,
 		cache: newPrefixCache(),
 	}
 }
@@ -81,12 +64,11 @@
 	l.adjustLoad(load, 1, prefill)
 }
 
-// adjustLoad changes an own load and the runner's total by the given amounts, and marks the load for the next report.
+// adjustLoad changes an own load and the sums by the given amounts.
 func (l *RunnerLink) adjustLoad(load *Load, running int, queued time.Duration) {
 	load.Running += running
 	load.Queued += queued
-	l.total.add(load.Artifact, running, queued)
-	l.changed[machine.Place{Runner: l.id, Artifact: load.Artifact}] = true
+	l.ledger.add(machine.Place{Runner: l.id, Artifact: load.Artifact}, running, queued, true)
 }
 
 // close subtracts this VM's loads from the total, because the runner is gone or has restarted.
--- a/fleet/link/report.go
+++ b/fleet/link/report.go
@@ -5,40 +5,63 @@
 
 	"github.com/mangopass/mangopass/fleet/contract"
 	"github.com/mangopass/mangopass/fleet/machine"
+	"github.com/mangopass/mangopass/fleet/zone"
 )
 
-// Report is the message that an entry VM sends to each of its peers many times a second.
+// Role is how the sender of a report sees the receiver.
+type Role int
+
+// The roles of the receiver of a report.
+const (
+	Stranger Role = iota // not a neighbour in the tree; the report only carries load requests
+	Relay                // passes on what the sender reports to the other VMs
+	Child                // the sender relays for the receiver
+	Twin                 // relay of another zone, as the sender is of its own
+)
+
+// String returns the role's name for logs.
+func (r Role) String() string { return [...]string{"stranger", "relay", "child", "twin"}[r] }
+
+// Report is the message that an entry VM sends to its neighbours in the tree of reports many times a second. It states
+// what the receiver cannot know from its other neighbours.
 type Report struct {
-	Node     string                 // name of the sender
-	Address  string                 // IP:port at which the sender takes reports
-	Boot     int64                  // start of the sender's process, in Unix nanoseconds
-	Sequence uint64                 // grows with each report of the process; receivers ignore old and duplicate ones
-	Stopping bool                   // the sender is shutting down
-	Whole    bool                   // whether Loads and Spent are complete, or only what changed since the last report
-	Loads    []Load                 // requests that the sender has at the runners; a load without requests has ended
-	Spent    []QuotaUsage           // what the sender admitted for each organisation
-	Asked    []machine.DemandReport // requests that reached the sender since its last report, and those waiting now
-	Struck   []uint64               // digests of requests with a broken run since the last report, once for each run
+	Node       string                 // name of the sender
+	Address    string                 // IP:port at which the sender takes reports
+	Zone       zone.ID                // zone of the sender
+	Boot       int64                  // start of the sender's process, in Unix nanoseconds
+	Sequence   uint64                 // grows with each report of the process; receivers ignore old and duplicate ones
+	Receiver   Role                   // how the sender sees the receiver
+	Relay      string                 // name of the VM that relays for the sender; its own name: it is a relay
+	Planner    string                 // name of the VM that decides on placement, as far as the sender knows
+	Members    []string               // VMs that the sender hears and whose reports it passes on; nil: as before
+	Stopping   bool                   // the sender is shutting down
+	Whole      bool                   // whether Loads and Spent are complete, or only what changed since the last report
+	Incomplete bool                   // the sender lacks a complete report of the receiver
+	Loads      []Load                 // requests at the runners; a load without requests has ended
+	Series     int64                  // identifies the running totals in Spent, which start anew with it
+	Spent      []QuotaUsage           // what was admitted for each organisation
+	Asked      []machine.DemandReport // requests since the last report, and those waiting now; only towards the planner
+	Struck     []uint64               // digests of requests with a broken run since the last report, once for each run
 
 	Version uint64                // version of the sender's runner states; it grows with each change of one
-	Views   []machine.RunnerView  // states of runners that the sender leads, as far as the receiver lacks them
+	Views   []machine.RunnerView  // states of runners, as far as the receiver lacks them
 	Wishes  []machine.LoadRequest // requests to load models or adapters on runners that the receiver leads
-	Ended   []EndedTerm           // terms of the sender that ended lately
+	Ended   []EndedTerm           // terms that ended lately
 }
 
-// EndedTerm says that the sender gives no more orders to the runners of a shard under a term, its exclusive right to
+// EndedTerm says that the leader of a shard gives no more orders to its runners under a term, its exclusive right to
 // give them.
 type EndedTerm struct {
 	Shard machine.Shard
 	Fence int64         // number of the term
-	Since time.Duration // time since the last moment at which it could send an order under the term
+	Since time.Duration // time since the last moment at which an order could be sent under the term
 }
 
-// QuotaUsage is what the sender has admitted for one organisation, and its view of the organisation's limit over all
-// entry VMs. The figures are in the unit of the limit, tokens or requests.
+// QuotaUsage is a running total of what was admitted for one organisation, and the sender's view of the organisation's
+// limit over all entry VMs. The figures are in the unit of the limit, tokens or requests.
 type QuotaUsage struct {
 	Organisation contract.OrganisationName
-	Total        float64 // admitted by the sender since its process started
+	Total        float64 // running total of the report's series
 	Level        float64 // what the sender could admit now: what it believes to be left for all entry VMs
 	Heard        float64 // the receiver's Total in its last report to the sender, which Level takes into account
 }
--- a/fleet/link/table.go
+++ b/fleet/link/table.go
@@ -1,9 +1,7 @@
 package link
 
 import (
-	"maps"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/mangopass/mangopass/duty/clock"
@@ -45,22 +43,28 @@
 	jitter = 2 * time.Millisecond
 )
 
-// Table holds one entry VM's links to the runners and the loads that its peers report. The totals of each runner are
-// updated with every change instead of summed up when needed, since each choice looks at every runner.
+// Table holds one entry VM's links to the runners and the loads that its neighbours report. The totals of each runner
+// are updated with every change instead of summed up when needed, since each choice looks at every runner.
 type Table struct {
-	links   map[machine.RunnerID]*RunnerLink
-	totals  map[machine.RunnerID]*runnerTotal
-	peers   map[string]map[machine.Place]Load // by name of the peer
-	changed map[machine.Place]bool            // own loads that changed since the last TakeChanged
-	zones   zone.Map
-	rand    *rand.Rand
+	*ledger
+	links map[machine.RunnerID]*RunnerLink
+	peers map[string]*reportedLoads // by name of the peer
+	zones zone.Map
+	rand  *rand.Rand
+}
+
+// reportedLoads is what a peer reports.
+type reportedLoads struct {
+	below   bool // this VM relays for the peer
+	places  map[machine.Place]Load
+	runners map[machine.RunnerID]Load // the sum for each runner
 }
 
 // NewTable returns an empty table.
 func NewTable(zones zone.Map, r *rand.Rand) *Table {
 	return &Table{
-		links: make(map[machine.RunnerID]*RunnerLink), totals: make(map[machine.RunnerID]*runnerTotal),
-		peers: make(map[string]map[machine.Place]Load), changed: make(map[machine.Place]bool), zones: zones, rand: r,
+		ledger: newLedger(), links: make(map[machine.RunnerID]*RunnerLink), peers: make(map[string]*reportedLoads),
+		zones: zones, rand: r,
 	}
 }
 
@@ -73,7 +77,7 @@
 	if l != nil {
 		l.close()
 	}
-	l = newRunnerLink(r, t.totalFor(r.ID), t.changed)
+	l = newRunnerLink(r, t.ledger)
 	t.links[r.ID] = l
 	return l
 }
@@ -93,58 +97,96 @@
 	}
 }
 
+// Place states whether this VM relays for a peer, so that the peer's loads are passed on to the other relays.
+func (t *Table) Place(peer string, below bool) {
+	if p := t.peers[peer]; p == nil || p.below != below {
+		t.SetPeer(peer, nil)
+		t.peers[peer] = &reportedLoads{
+			below: below, places: make(map[machine.Place]Load), runners: make(map[machine.RunnerID]Load),
+		}
+	}
+}
+
 // SetPeer replaces all loads of a peer; nil removes the peer.
 func (t *Table) SetPeer(peer string, loads []Load) {
-	for _, load := range t.peers[peer] {
-		t.totalFor(load.Runner).add(load.Artifact, -load.Running, -load.Queued)
+	if p := t.peers[peer]; p != nil {
+		for place, load := range p.places {
+			t.add(place, -load.Running, -load.Queued, p.below)
+		}
+		delete(t.peers, peer)
+		if loads != nil {
+			t.Place(peer, p.below)
+		}
 	}
-	delete(t.peers, peer)
 	t.UpdatePeer(peer, loads)
 }
 
 // UpdatePeer replaces the given loads of a peer and keeps its others. A load without running requests is removed.
 func (t *Table) UpdatePeer(peer string, loads []Load) {
-	reported := t.peers[peer]
-	if reported == nil && len(loads) > 0 {
-		reported = make(map[machine.Place]Load, len(loads))
-		t.peers[peer] = reported
+	if len(loads) == 0 {
+		return
+	}
+	if t.peers[peer] == nil {
+		t.Place(peer, false)
 	}
+	p := t.peers[peer]
 	for _, load := range loads {
 		place := machine.Place{Runner: load.Runner, Artifact: load.Artifact}
-		before := reported[place]
-		t.totalFor(load.Runner).add(load.Artifact, load.Running-before.Running, load.Queued-before.Queued)
+		before := p.places[place]
+		running, queued := load.Running-before.Running, load.Queued-before.Queued
+		t.add(place, running, queued, p.below)
+		sum := p.runners[load.Runner]
+		p.runners[load.Runner] = Load{
+			Runner: load.Runner, Running: sum.Running + running, Queued: sum.Queued + queued,
+		}
 		if load.Running == 0 {
-			delete(reported, place)
+			delete(p.places, place)
 		} else {
-			reported[place] = load
+			p.places[place] = load
 		}
 	}
 }
 
-// Own returns all loads of this VM.
-func (t *Table) Own() []Load {
-	out := []Load{}
-	for _, l := range t.links {
-		for _, load := range l.ownLoads {
-			out = append(out, *load)
-		}
+// Below returns all loads of this VM and of those that it relays for.
+func (t *Table) Below() []Load {
+	out := make([]Load, 0, len(t.below))
+	for _, load := range t.below {
+		out = append(out, load)
 	}
 	return out
 }
 
-// OwnAt returns this VM's load for an artifact on a runner, or a load without requests if there is none.
-func (t *Table) OwnAt(p machine.Place) Load {
-	if l := t.links[p.Runner]; l != nil && l.ownLoads[p.Artifact] != nil {
-		return *l.ownLoads[p.Artifact]
+// BelowAt returns the load of this VM and of those that it relays for at a place, or a load without requests if there
+// is none.
+func (t *Table) BelowAt(p machine.Place) Load {
+	if load, ok := t.below[p]; ok {
+		return load
 	}
 	return Load{Runner: p.Runner, Artifact: p.Artifact}
 }
 
-// TakeChanged returns the places (runner and artifact) of this VM's loads that changed since the last call.
-func (t *Table) TakeChanged() []machine.Place {
-	places := slices.Collect(maps.Keys(t.changed))
-	clear(t.changed)
-	return places
+// Others returns the load of each runner without the part that the peer reports itself.
+func (t *Table) Others(peer string) []Load {
+	out := make([]Load, 0, len(t.totals))
+	for id := range t.totals {
+		if load := t.OthersAt(peer, id); load.Running > 0 {
+			out = append(out, load)
+		}
+	}
+	return out
+}
+
+// OthersAt returns the load of a runner without the part that the peer reports itself.
+func (t *Table) OthersAt(peer string, id machine.RunnerID) Load {
+	load := Load{Runner: id}
+	if sum := t.totals[id]; sum != nil {
+		load.Running, load.Queued = sum.running, sum.queued
+	}
+	if p := t.peers[peer]; p != nil {
+		load.Running -= p.runners[id].Running
+		load.Queued -= p.runners[id].Queued
+	}
+	return load
 }
 
 // Running returns the number of requests that all entry VMs have at a place. It implements machine.Usage.
@@ -163,16 +205,6 @@
 	return 0
 }
 
-// totalFor returns the total of a runner, and creates it if there is none.
-func (t *Table) totalFor(r machine.RunnerID) *runnerTotal {
-	sum := t.totals[r]
-	if sum == nil {
-		sum = &runnerTotal{runningByArtifact: make(map[machine.Artifact]int)}
-		t.totals[r] = sum
-	}
-	return sum
-}
-
 // Pick chooses the runner with the lowest cost for a request, mainly the expected delay of its first event, and adds
 // the prompt's prefixes to those expected to be cached there. It returns false if no usable runner meets the
 // requirements.
@@ -230,7 +262,7 @@
 // jitter.
 func (t *Table) cost(c Choice, req Requirements, now clock.Instant) time.Duration {
 	l := t.Link(c.Runner)
-	running := l.total.running
+	running := t.totalFor(c.Runner.ID).running
 	expected := c.Wait + c.Prefill + time.Duration(running)*runningCost
 	if req.Artifact.Model == "" {
 		expected = serviceTime * time.Duration(1+running) / time.Duration(max(1, c.Runner.Slots))
--- a/fleet/machine/adapters.go
+++ b/fleet/machine/adapters.go
@@ -68,13 +68,14 @@
 			best, lowest = r, cost
 		}
 	}
-	switch {
-	case best == nil:
-	case s.authority.MayOrder(best.ID, now):
-		s.loadAdapter(best, a, now, plan)
-	default:
-		s.requestLoad(best, a.Model, a.Adapter, now, plan)
+	if best == nil {
+		return
+	}
+	request := LoadRequest{Runner: best.ID, Boot: best.Boot, Model: a.Model, Adapter: a.Adapter}
+	if !s.adapterFits(best, a) {
+		request.Victim, _ = s.leastUsedAdapter(best, now)
 	}
+	s.start(request, now, plan)
 }
 
 // adapterFits reports whether a runner has a free adapter slot and enough memory for an adapter.
@@ -82,23 +83,24 @@
 	return adapterCount(r) < s.engine(r).AdapterSlots && s.freeAfterLoad(r, a.Model, a.Adapter) >= 0
 }
 
-// loadAdapter orders the load of an adapter or, if it doesn't fit, the unload of another one.
-func (s *Scheduler) loadAdapter(r *Runner, a Artifact, now clock.Instant, plan *Plan) {
-	replica := r.Replica(a.Model)
+// loadAdapter orders the load of an adapter or, if it doesn't fit, the unload of the request's victim.
+func (s *Scheduler) loadAdapter(r *Runner, request LoadRequest, now clock.Instant, plan *Plan) {
+	replica := r.Replica(request.Model)
 	if replica == nil || !replica.Ready("", now) {
 		return
 	}
-	if _, loaded := replica.Adapters[a.Adapter]; loaded {
+	if _, loaded := replica.Adapters[request.Adapter]; loaded {
 		return
 	}
 	state := s.localState(r)
-	if s.adapterFits(r, a) {
+	if s.adapterFits(r, Artifact{Service: r.Service, Model: request.Model, Adapter: request.Adapter}) {
 		if incomingAdapterCount(r, now) < maxIncomingAdapters {
-			s.issueOrder(r, state, Load, a.Model, a.Adapter, plan)
+			s.issueOrder(r, state, Load, request.Model, request.Adapter, plan)
 		}
 		return
 	}
-	if victim, ok := s.leastUsedAdapter(r, now); ok {
+	victim := request.Victim
+	if holder := r.Replica(victim.Model); holder != nil && victim.Adapter != "" && holder.Ready(victim.Adapter, now) {
 		s.issueOrder(r, state, Unload, victim.Model, victim.Adapter, plan)
 	}
 }
--- a/fleet/machine/demand.go
+++ b/fleet/machine/demand.go
@@ -93,11 +93,7 @@
 func (d *demand) total() queue {
 	var sum queue
 	for _, q := range d.waiting {
-		sum.requests += q.requests
-		sum.timely += q.timely
-		if q.timely > 0 && (sum.due == 0 || q.due < sum.due) {
-			sum.due = q.due
-		}
+		sum = sum.plus(q)
 	}
 	return sum
 }
--- /dev/null
+++ b/fleet/machine/demandbook.go
@@ -0,0 +1,97 @@
+package machine
+
+import "github.com/mangopass/mangopass/duty/clock"
+
+// DemandBook collects the demand that a VM reports towards the planner: its own, and that of the VMs for which it
+// relays.
+type DemandBook struct {
+	arrivals map[Artifact]*DemandReport    // since the last Take; nothing waits in them
+	below    map[string]map[Artifact]queue // requests that wait at the VMs below, by their names
+}
+
+// WaitingRequest is a request that waits for a replica at this VM.
+type WaitingRequest struct {
+	Artifact Artifact
+	Due      clock.Instant // latest instant to send it, so that it meets its latency objective
+}
+
+// NewDemandBook returns an empty book.
+func NewDemandBook() *DemandBook {
+	return &DemandBook{arrivals: make(map[Artifact]*DemandReport), below: make(map[string]map[Artifact]queue)}
+}
+
+// Arrived counts a request at this VM.
+func (b *DemandBook) Arrived(d DemandReport) { b.add(d) }
+
+func (b *DemandBook) add(d DemandReport) {
+	sum := b.arrivals[d.Artifact]
+	if sum == nil {
+		sum = &DemandReport{Artifact: d.Artifact}
+		b.arrivals[d.Artifact] = sum
+	}
+	sum.Arrivals += d.Arrivals
+	sum.Urgent += d.Urgent
+	sum.Work += d.Work
+}
+
+// Merge applies the report of a VM below. No request waits there for an artifact that it leaves out.
+func (b *DemandBook) Merge(node string, reports []DemandReport, now clock.Instant) {
+	queues := make(map[Artifact]queue)
+	for _, d := range reports {
+		if d.Arrivals > 0 {
+			b.add(d)
+		}
+		if d.Waiting > 0 {
+			queues[d.Artifact] = queue{requests: d.Waiting, timely: d.Timely, due: now.Add(d.Due)}
+		}
+	}
+	b.below[node] = queues
+}
+
+// Remove drops the waiting requests of a VM that is no longer below this one.
+func (b *DemandBook) Remove(node string) { delete(b.below, node) }
+
+// Take returns the demand since the last call and the requests that wait now, those of this VM among them.
+func (b *DemandBook) Take(own []WaitingRequest, now clock.Instant) []DemandReport {
+	waiting := make(map[Artifact]queue)
+	for _, w := range own {
+		waiting[w.Artifact] = waiting[w.Artifact].plus(w.queue(now))
+	}
+	for _, queues := range b.below {
+		for a, q := range queues {
+			waiting[a] = waiting[a].plus(q)
+		}
+	}
+	for a := range waiting {
+		b.add(DemandReport{Artifact: a})
+	}
+	out := make([]DemandReport, 0, len(b.arrivals))
+	for a, d := range b.arrivals {
+		q := waiting[a]
+		d.Waiting, d.Timely = q.requests, q.timely
+		if q.timely > 0 {
+			d.Due = max(0, q.due.Sub(now))
+		}
+		out = append(out, *d)
+	}
+	clear(b.arrivals)
+	return out
+}
+
+// queue returns the queue of one request.
+func (w WaitingRequest) queue(now clock.Instant) queue {
+	if w.Due.After(now) {
+		return queue{requests: 1, timely: 1, due: w.Due}
+	}
+	return queue{requests: 1}
+}
+
+// plus returns the queue of the requests of both.
+func (q queue) plus(other queue) queue {
+	q.requests += other.requests
+	if other.timely > 0 && (q.timely == 0 || other.due < q.due) {
+		q.due = other.due
+	}
+	q.timely += other.timely
+	return q
+}
--- a/fleet/machine/evict.go
+++ b/fleet/machine/evict.go
@@ -73,7 +73,7 @@
 		}
 		m := e.Models[name]
 		c := candidate{
-			name: name, mb: m.WeightsMB + float64(len(replica.Adapters))*m.AdapterMB, value: s.replicaValue(r, m),
+			name: name, mb: replicaMB(replica, e), value: s.replicaValue(r, m),
 			inUse: s.inUse(r, replica) > 0,
 		}
 		c.canUnload = !replica.ReadyAt.Add(minLoadedTime).After(now) && (!c.inUse || demand.replicas > 1)
--- a/fleet/machine/loads.go
+++ b/fleet/machine/loads.go
@@ -125,7 +125,9 @@
 	case best.runner == nil:
 		s.reportDelay(delay, now, plan)
 	case best.canStart:
-		s.startSwap(best.runner, a.Model, best.victims, now, plan)
+		s.start(LoadRequest{
+			Runner: best.runner.ID, Boot: best.runner.Boot, Model: a.Model, Victims: best.victims, Drain: best.inUse,
+		}, now, plan)
 		if m := s.engine(best.runner).Models[a.Model]; s.loadTime(best.runner, m) == m.LoadCold {
 			s.addColdLoad(best.runner, a.Model, now)
 		}
@@ -143,6 +145,7 @@
 	victims  []contract.ModelName
 	cost     float64 // seconds until the model is ready, plus the value lost
 	lost     float64 // summed value of the victims
+	inUse    bool    // requests run on a victim
 	canStart bool    // the first order can be issued now
 }
 
@@ -171,7 +174,8 @@
 	case choice.lost >= gain:
 		return target, TooCostly
 	}
-	target.victims, target.canStart = choice.victims, target.canStart && choice.canStart
+	target.victims, target.inUse, target.canStart =
+		choice.victims, choice.inUse, target.canStart && choice.canStart
 	target.cost = choice.lost + loadTime.Seconds() + float64(len(choice.victims))*unloadTime.Seconds() +
 		s.usage.Queued(r.ID).Seconds() + s.freeIn(r, now).Seconds() + float64(reserved)*swapTime.Seconds()
 	if choice.inUse {
@@ -181,14 +185,14 @@
 }
 
 // responsive reports whether a runner's state can be relied on. A runner that this process leads must have reported
-// its state in this term and answered the last order or query. Of another one, the leader must have sent a view
-// lately.
+// its state in this term and answered the last order or query. Of another one, the leader must have sent its state and
+// be heard.
 func (s *Scheduler) responsive(r *Runner, now clock.Instant) bool {
 	if s.authority.MayOrder(r.ID, now) {
 		state := s.localState(r)
 		return state.reportRead && state.failures == 0
 	}
-	return s.remoteState(r).responsive(now)
+	return s.remoteState(r).known && s.authority.HearsLeader(r.ID)
 }
 
 // freeIn returns the expected time until a runner can take an order.
--- a/fleet/machine/localstate.go
+++ b/fleet/machine/localstate.go
@@ -16,17 +16,14 @@
 	// swapTime is the usual duration of a load from a copy on the runner, with the unloads before it.
 	swapTime = 900 * time.Millisecond
 	// conflictRetryDelay is the time without orders to a runner after an order conflicted with another one in progress.
-	conflictRetryDelay = 40 * time.Millisecond
+	// It doubles with each further conflict, up to maxConflictRetryDelay.
+	conflictRetryDelay    = 40 * time.Millisecond
+	maxConflictRetryDelay = 320 * time.Millisecond
 	// reportLag is the maximum age of the contents in a runner's own report.
 	reportLag = 200 * time.Millisecond
-	// unloadDrainDelay is the time without orders to a runner after the unload of a model with running requests, in
-	// which these requests can end.
-	unloadDrainDelay = 300 * time.Millisecond
-	// viewPeriod is the time after which an unchanged state is sent to the peers again. A peer that learns of a runner
-	// only after the runner's leader has queried its state has missed the first view.
-	viewPeriod = 500 * time.Millisecond
-	// maxMissedViews is the number of view periods without a view after which a leader counts as gone.
-	maxMissedViews = 3
+	// viewPeriod is the time after which an unchanged state is sent to the peers again, so that a view that was lost
+	// stays unknown no longer than that.
+	viewPeriod = 5 * time.Second
 	// maxBackoffFactor is the longest pause between state queries to a runner that does not answer, in units of
 	// reportLag.
 	maxBackoffFactor = 5
@@ -43,6 +40,7 @@
 type swap struct {
 	victims []contract.ModelName // still to be unloaded
 	model   contract.ModelName
+	drain   bool // requests run on a victim, whose unload waits for them
 }
 
 // localState is the leader's exact state of one runner.
@@ -57,6 +55,7 @@
 	holdUntil    clock.Instant // no order is issued before
 	busyUntil    clock.Instant // expected end of the load in progress
 	sharedAt     clock.Instant // when the state was last marked for sending to the peers again
+	unloading    *unloadWait   // waited for before the next order; nil: the last order was no unload
 	conflicts    int           // order conflicts in a row
 	failures     int           // orders and state queries in a row without an answer
 }
@@ -89,13 +88,18 @@
 // usedMB returns the memory that the models and adapters on a runner take, in MB.
 func usedMB(r *Runner, engine *contract.Engine) float64 {
 	used := 0.0
-	for name, replica := range r.Replicas {
-		m := engine.Models[name]
-		used += m.WeightsMB + float64(len(replica.Adapters))*m.AdapterMB
+	for _, replica := range r.Replicas {
+		used += replicaMB(replica, engine)
 	}
 	return used
 }
 
+// replicaMB returns the memory that a model and its adapters take on a runner, in MB.
+func replicaMB(replica *Replica, engine *contract.Engine) float64 {
+	m := engine.Models[replica.Model]
+	return m.WeightsMB + float64(len(replica.Adapters))*m.AdapterMB
+}
+
 // adapterCount returns the number of adapters on a runner, each of which takes one adapter slot.
 func adapterCount(r *Runner) int {
 	n := 0
--- a/fleet/machine/outcome.go
+++ b/fleet/machine/outcome.go
@@ -22,6 +22,10 @@
 	} else if outcome != OrderNotSent {
 		state.failures = 0
 	}
+	if state.unloading != nil && (outcome == OrderAccepted || outcome == OrderConflict) {
+		state.unloading.adjust(outcome == OrderConflict)
+		state.unloading = nil
+	}
 	switch outcome {
 	case OrderAccepted, OrderHolds:
 		state.conflicts = 0
@@ -31,7 +35,7 @@
 			state.invalidate(now) // only a report shows whether the runner counted this order in Sequence
 		}
 	case OrderConflict:
-		state.holdUntil = now.Add(conflictRetryDelay)
+		state.holdUntil = now.Add(min(conflictRetryDelay<<state.conflicts, maxConflictRetryDelay))
 		if state.conflicts++; state.conflicts >= maxConflicts {
 			state.conflicts = 0
 			state.invalidate(now)
@@ -53,9 +57,11 @@
 func (s *Scheduler) applyOrder(r *Runner, state *localState, o Order, now clock.Instant) {
 	switch {
 	case o.Kind == Unload && o.Adapter == "":
-		if replica := r.Replica(o.Model); replica != nil && s.inUse(r, replica) > 0 {
-			state.holdUntil = now.Add(unloadDrainDelay)
+		state.unloading = s.idleUnload
+		if state.swap != nil && state.swap.drain {
+			state.unloading = s.drainUnload
 		}
+		state.holdUntil = now.Add(state.unloading.wait)
 		delete(r.Replicas, o.Model)
 		if state.swap != nil {
 			state.swap.victims = slices.DeleteFunc(state.swap.victims,
@@ -157,7 +163,10 @@
 	} else {
 		replica.ReadyAt = now.Add(missingPause)
 	}
-	if state != nil && state.pending == nil && state.synced && state.swap == nil {
+	if state == nil {
+		return
+	}
+	if state.pending == nil && state.synced && state.swap == nil {
 		state.invalidate(now)
 	}
 	s.markChanged(id)
@@ -167,6 +176,7 @@
 func (s *Scheduler) markChanged(id RunnerID) {
 	s.version++
 	s.changed[id] = s.version
+	s.versionBelow = s.version
 }
 
 // RunnerView is the leader's state of one runner, as sent to the peers.
@@ -174,6 +184,7 @@
 	Runner  RunnerID
 	Boot    int64
 	Fence   int64              // of the leader's term
+	Version uint64             // of the leader's state of the runner; it grows with each change
 	Known   bool               // the runner's own report has been applied in this term, and the runner answers
 	BusyFor time.Duration      // expected time until the runner can take the next order
 	Coming  contract.ModelName // model about to be loaded; empty: none
@@ -193,20 +204,71 @@
 	ReadyIn time.Duration // as in ModelView
 }
 
+// Receiver is a VM that gets views.
+type Receiver struct {
+	Name  string
+	Below bool // this VM relays for it
+}
+
 // Version returns the version of the latest state change, for use with Views.
 func (s *Scheduler) Version() uint64 { return s.version }
 
-// Views returns the states of the runners that this process leads, of those whose state has a later version than after.
-// fence returns the fence of the term over a runner.
-func (s *Scheduler) Views(after uint64, fence func(RunnerID) int64, now clock.Instant) []RunnerView {
+// VersionFor returns the version of the latest state change that Views returns to a receiver.
+func (s *Scheduler) VersionFor(to Receiver) uint64 {
+	if to.Below {
+		return s.version
+	}
+	return s.versionBelow
+}
+
+// Views returns the states of runners for a receiver, of those that have a later version than after. A VM for which
+// this one relays gets all but what came from itself. Any other gets the states of the runners that this process or a
+// VM below it leads. fence returns the fence of this process's term over a runner.
+func (s *Scheduler) Views(
+	after uint64, to Receiver, fence func(RunnerID) int64, now clock.Instant,
+) []RunnerView {
 	if after >= s.version {
 		return nil
 	}
 	var views []RunnerView
 	for _, r := range s.fleet.All() {
-		if s.changed[r.ID] > after && s.authority.MayOrder(r.ID, now) {
+		if s.changed[r.ID] <= after {
+			continue
+		}
+		if s.authority.MayOrder(r.ID, now) {
 			views = append(views, s.view(r, fence(r.ID), now))
+		} else if state := s.remoteStates[r.ID]; state != nil && state.boot == r.Boot && state.forwardTo(to) {
+			views = append(views, forwardedView(r, state, now))
+		}
+	}
+	return views
+}
+
+// forwardTo reports whether a receiver needs the state from this process.
+func (s *remoteState) forwardTo(to Receiver) bool {
+	if to.Below {
+		return s.source != "" && s.source != to.Name
+	}
+	return s.below
+}
+
+// forwardedView returns the state of a runner that another process leads.
+func forwardedView(r *Runner, state *remoteState, now clock.Instant) RunnerView {
+	return RunnerView{
+		Runner: r.ID, Boot: r.Boot, Fence: state.fence, Version: state.version, Known: state.known,
+		BusyFor: max(0, state.busyUntil.Sub(now)), Coming: state.incoming, Models: modelViews(r, now),
+	}
+}
+
+// modelViews returns the models that a runner holds.
+func modelViews(r *Runner, now clock.Instant) []ModelView {
+	var views []ModelView
+	for _, replica := range r.Replicas {
+		m := ModelView{Model: replica.Model, ReadyIn: max(0, replica.ReadyAt.Sub(now))}
+		for a, readyAt := range replica.Adapters {
+			m.Adapters = append(m.Adapters, AdapterView{Adapter: a, ReadyIn: max(0, readyAt.Sub(now))})
 		}
+		views = append(views, m)
 	}
 	return views
 }
@@ -214,8 +276,9 @@
 func (s *Scheduler) view(r *Runner, fence int64, now clock.Instant) RunnerView {
 	state := s.localState(r)
 	v := RunnerView{
-		Runner: r.ID, Boot: r.Boot, Fence: fence, Known: state.reportRead && state.failures == 0,
-		BusyFor: max(0, state.busyUntil.Sub(now)),
+		Runner: r.ID, Boot: r.Boot, Fence: fence, Version: s.changed[r.ID],
+		Known: state.reportRead && state.failures == 0, BusyFor: max(0, state.busyUntil.Sub(now)),
+		Models: modelViews(r, now),
 	}
 	if !state.synced {
 		v.BusyFor = max(v.BusyFor, reportLag)
@@ -223,12 +286,5 @@
 	if state.swap != nil {
 		v.Coming = state.swap.model
 	}
-	for _, replica := range r.Replicas {
-		m := ModelView{Model: replica.Model, ReadyIn: max(0, replica.ReadyAt.Sub(now))}
-		for a, readyAt := range replica.Adapters {
-			m.Adapters = append(m.Adapters, AdapterView{Adapter: a, ReadyIn: max(0, readyAt.Sub(now))})
-		}
-		v.Models = append(v.Models, m)
-	}
 	return v
 }
--- a/fleet/machine/placement.go
+++ b/fleet/machine/placement.go
@@ -1,6 +1,7 @@
 package machine
 
 import (
+	"slices"
 	"time"
 
 	"github.com/mangopass/mangopass/duty/clock"
@@ -45,6 +46,8 @@
 	coldLoadWindow = 5 * time.Second
 	// planPeriod is the shortest time between two runs of the placement.
 	planPeriod = 20 * time.Millisecond
+	// prunePeriod is the time between two removals of demand and states that are no longer needed.
+	prunePeriod = 500 * time.Millisecond
 	// maxIncomingAdapters is the number of adapters that one runner may be loading at a time.
 	maxIncomingAdapters = 4
 )
@@ -61,22 +64,28 @@
 	Queued(r RunnerID) time.Duration // prefill time of the waiting requests
 }
 
-// Authority tells which runners this process may give orders to.
+// Authority tells which runners this process may give orders to, and whether the leaders of the others can be asked
+// for loads.
 type Authority interface {
 	MayOrder(r RunnerID, now clock.Instant) bool
+	HearsLeader(r RunnerID) bool // the leader's reports arrive
 }
 
-// LoadRequest asks the leader of a runner to load a model or an adapter there.
+// LoadRequest asks the leader of a runner to load a model or an adapter there. The planner, which knows the demand and
+// the loads of all runners, names what has to make room.
 type LoadRequest struct {
 	Runner  RunnerID
 	Boot    int64
 	Model   contract.ModelName
 	Adapter contract.AdapterName // empty: the model itself
+	Victims []contract.ModelName // models to be unloaded first
+	Drain   bool                 // requests run on a victim, whose unload waits for them
+	Victim  Artifact             // adapter to be unloaded first; empty: none
 }
 
 // Scheduler decides which models and adapters each runner loads. Of the runners that this process leads it keeps the
 // exact state and gives them orders; for the others it relies on the views that their leaders send, and sends these
-// load requests.
+// load requests. Only the planner's scheduler needs the demand and the usage.
 type Scheduler struct {
 	fleet           *Fleet
 	usage           Usage
@@ -86,6 +95,7 @@
 	remoteStates    map[RunnerID]*remoteState
 	demands         map[Artifact]*demand
 	placedAt        clock.Instant              // last run of the placement
+	prunedAt        clock.Instant              // last removal of demand and states that are no longer needed
 	delayReportedAt map[Artifact]clock.Instant // last report of the delay of a model
 
 	// Rebuilt in each run of the placement, except for coldLoadStarts.
@@ -95,8 +105,13 @@
 	coldLoadStarts map[Place]clock.Instant  // those that started within coldLoadWindow
 	reserved       map[RunnerID]int         // models that wait for a busy runner in this run
 
-	changed map[RunnerID]uint64 // version of the latest change of a runner's state
-	version uint64              // number of state changes so far
+	idleUnload  *unloadWait // after the unload of a model that no request uses
+	drainUnload *unloadWait // after the unload of a model with running requests
+
+	changed      map[RunnerID]uint64 // version of the latest change of a runner's state
+	version      uint64              // number of state changes so far
+	versionBelow uint64              // version of the latest change by this process or a VM for which it relays
+	earlyViews   map[RunnerID]earlyView
 }
 
 // NewScheduler returns a scheduler that doesn't know any runner's state yet.
@@ -107,7 +122,8 @@
 		delayReportedAt: make(map[Artifact]clock.Instant),
 		modelDemands:    make(map[Artifact]*modelDemand), evictable: make(map[RunnerID][]candidate),
 		reserved: make(map[RunnerID]int), coldLoadStarts: make(map[Place]clock.Instant),
-		changed: make(map[RunnerID]uint64),
+		idleUnload: newIdleUnloadWait(), drainUnload: newDrainUnloadWait(),
+		changed: make(map[RunnerID]uint64), earlyViews: make(map[RunnerID]earlyView),
 	}
 }
 
@@ -164,7 +180,10 @@
 // runners.
 func (s *Scheduler) Plan(planner bool, now clock.Instant) Plan {
 	var plan Plan
-	s.pruneStale(now)
+	if now.Sub(s.prunedAt) >= prunePeriod {
+		s.prunedAt = now
+		s.pruneStale(now)
+	}
 	for _, r := range s.fleet.All() {
 		if s.engine(r) == nil || !r.Usable(now) || !s.authority.MayOrder(r.ID, now) {
 			continue
@@ -200,49 +219,57 @@
 		!s.authority.MayOrder(r.ID, now) || !s.idle(r, now) {
 		return plan
 	}
-	s.summarizeDemand(now)
 	if request.Adapter != "" {
-		s.loadAdapter(r, Artifact{Service: r.Service, Model: request.Model, Adapter: request.Adapter}, now, &plan)
+		s.loadAdapter(r, request, now, &plan)
 		return plan
 	}
-	model, known := s.engine(r).Models[request.Model]
-	if !known || r.Replica(request.Model) != nil {
-		return plan
-	}
-	if choice, ok := s.evict(r, s.engine(r), model.WeightsMB, now); ok && choice.canStart {
-		s.startSwap(r, request.Model, choice.victims, now, &plan)
-	}
+	s.startSwap(r, request, now, &plan)
 	return plan
 }
 
-// startSwap starts a swap at a runner that this process leads, or requests it of the runner's leader.
-func (s *Scheduler) startSwap(
-	r *Runner, model contract.ModelName, victims []contract.ModelName, now clock.Instant, plan *Plan,
-) {
-	if !s.authority.MayOrder(r.ID, now) {
-		s.requestLoad(r, model, "", now, plan)
+// start carries out a load request at a runner that this process leads, or sends it to the runner's leader.
+func (s *Scheduler) start(request LoadRequest, now clock.Instant, plan *Plan) {
+	r := s.fleet.Get(request.Runner)
+	switch {
+	case !s.authority.MayOrder(r.ID, now):
+		plan.LoadRequests = append(plan.LoadRequests, request)
+		s.remoteState(r).setRequest(request, now)
+	case request.Adapter != "":
+		s.loadAdapter(r, request, now, plan)
+	default:
+		s.startSwap(r, request, now, plan)
+	}
+}
+
+// startSwap starts a load of a model, with the unloads before it, if the runner holds the victims and the model fits
+// once they are gone.
+func (s *Scheduler) startSwap(r *Runner, request LoadRequest, now clock.Instant, plan *Plan) {
+	e, state := s.engine(r), s.localState(r)
+	if _, known := e.Models[request.Model]; !known || r.Replica(request.Model) != nil {
 		return
 	}
-	state := s.localState(r)
-	state.swap = &swap{victims: victims, model: model}
+	free := s.freeAfterLoad(r, request.Model, "")
+	for _, victim := range request.Victims {
+		replica := r.Replica(victim)
+		if replica == nil || replica.ReadyAt.After(now) {
+			return
+		}
+		free += replicaMB(replica, e)
+	}
+	if free < 0 {
+		return
+	}
+	state.swap = &swap{victims: slices.Clone(request.Victims), model: request.Model, drain: request.Drain}
 	s.markChanged(r.ID)
 	s.continueSwap(r, state, now, plan)
 }
 
-func (s *Scheduler) requestLoad(
-	r *Runner, model contract.ModelName, adapter contract.AdapterName, now clock.Instant, plan *Plan,
-) {
-	plan.LoadRequests = append(plan.LoadRequests,
-		LoadRequest{Runner: r.ID, Boot: r.Boot, Model: model, Adapter: adapter})
-	s.remoteState(r).setRequest(model, adapter, now)
-}
-
 // idle reports whether a runner can take an order now.
 func (s *Scheduler) idle(r *Runner, now clock.Instant) bool {
 	if s.authority.MayOrder(r.ID, now) {
 		return s.localState(r).idle(now)
 	}
-	return s.remoteState(r).idle(now)
+	return s.remoteState(r).idle(now) && s.authority.HearsLeader(r.ID)
 }
 
 // incomingModel returns the model that a runner is about to load and that is not among its replicas yet, or "".
--- a/node/entry/admission.go
+++ b/node/entry/admission.go
@@ -100,6 +100,11 @@
 	if q == nil {
 		q = contract.NewQuota(o.Limit, r.quotaSlack(), quotaInitialFill, now)
 		q.SetShare(r.members.heardShare(now), now)
+		for name, p := range r.members.peers {
+			if p.role != link.Stranger {
+				r.connectQuota(q, name, p, now)
+			}
+		}
 		r.quotas[o.Name] = q
 	}
 	return q
@@ -129,14 +134,13 @@
 		return
 	}
 	model, known := r.model(c)
-	urgent := known && c.admitted.Route.Objective < model.LoadDisk+firstTokenTime+urgencyMargin
-	r.updateDemand(c.artifact, func(d *machine.DemandReport) {
-		d.Arrivals++
-		d.Work += link.PrefillTime(c.request.PromptTokens)
-		if urgent {
-			d.Urgent++
-		}
-	})
+	d := machine.DemandReport{
+		Artifact: c.artifact, Arrivals: 1, Work: link.PrefillTime(c.request.PromptTokens),
+	}
+	if known && c.admitted.Route.Objective < model.LoadDisk+firstTokenTime+urgencyMargin {
+		d.Urgent = 1
+	}
+	r.demand.Arrived(d)
 }
 
 // urgencyMargin is added to the time that a load from disk and the first token take. A request whose latency
@@ -225,21 +229,14 @@
 	}
 	c.waiting = true
 	r.waiting = append(r.waiting, c)
-	r.updateDemand(c.artifact, func(d *machine.DemandReport) { d.Waiting++ })
-	if p := r.members.peers[r.members.planner]; p != nil {
+	if p := r.towardsPlanner(); p != nil {
 		p.urgent = true
 	}
 	r.log.Info("waiting", "request", c.request.ID, "model", c.artifact.Model, "adapter", c.artifact.Adapter,
 		"patience_ms", c.waitUntil.Sub(now).Milliseconds(), "planner", r.members.planner)
 }
 
-func (r *routing) stopWaiting(c *call) {
-	if !c.waiting {
-		return
-	}
-	c.waiting = false
-	r.updateDemand(c.artifact, func(d *machine.DemandReport) { d.Waiting = max(0, d.Waiting-1) })
-}
+func (r *routing) stopWaiting(c *call) { c.waiting = false }
 
 // dispatchWaiting dispatches each waiting call again.
 func (r *routing) dispatchWaiting(now clock.Instant) {
--- a/node/entry/attempts.go
+++ b/node/entry/attempts.go
@@ -84,10 +84,7 @@
 		r.refuse(c, contract.Failed(contract.DeadlineExceeded, "no answer within the deadline"), now)
 		return
 	case m.result == resultBroken && m.attempt.artifact.Model != "" && !c.streaming:
-		r.crashes.Add(c.request.Digest, now)
-		for _, p := range r.members.peers {
-			p.unreportedCrashes = append(p.unreportedCrashes, c.request.Digest)
-		}
+		r.countCrash(c.request.Digest, "", now)
 		if r.crashes.Blocked(c.request.Digest, now) {
 			r.refuse(c, contract.Failed(contract.RunnerFailed, "the request broke off at several runners"), now)
 			return
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -17,6 +17,7 @@
 	"github.com/mangopass/mangopass/duty"
 	"github.com/mangopass/mangopass/duty/ring"
 	"github.com/mangopass/mangopass/fleet/machine"
+	"github.com/mangopass/mangopass/fleet/zone"
 	"github.com/mangopass/mangopass/node/logs"
 	"github.com/mangopass/mangopass/node/metrics"
 	"github.com/mangopass/mangopass/node/rpclink"
@@ -108,7 +109,7 @@
 	}
 	keeper := &leaseKeeper{
 		store: store, routing: r.intake, claims: r.leader.claims, log: e.log, node: e.settings.ID,
-		entry: nodeEntry{Address: e.settings.PeerAddress(), Boot: boot},
+		entry: nodeEntry{Address: e.settings.PeerAddress(), Zone: zone.ID(e.settings.Zone), Boot: boot},
 		ttl:   max(leaseTTL, e.settings.Rules.MinLease()),
 	}
 	e.group.Go("lease", keeper.run)
--- a/node/entry/leader.go
+++ b/node/entry/leader.go
@@ -31,6 +31,7 @@
 	holderKey       ownKeyChange // the holder key as last read
 	leaderNode      string       // name of the VM in the holder key; empty: none
 	leaderBoot      int64
+	leaderHeard     bool         // the leader's reports arrive
 	leaderIsSelf    bool         // the leader is this VM, in this process or an earlier one
 	lastTermKey     ownKeyChange // the last-term key as last read; its revision is that term's fence
 	lastTermAtClaim ownKeyChange // lastTermKey as stated in the last claim, which fails if it has changed
@@ -55,8 +56,22 @@
 }
 
 // MayOrder implements machine.Authority.
-func (l *leader) MayOrder(r machine.RunnerID, now clock.Instant) bool {
-	return l.shards[machine.ShardOf(r)].leadership.MayOrder(now)
+func (r *routing) MayOrder(id machine.RunnerID, now clock.Instant) bool {
+	return r.leader.shards[machine.ShardOf(id)].leadership.MayOrder(now)
+}
+
+// HearsLeader implements machine.Authority.
+func (r *routing) HearsLeader(id machine.RunnerID) bool {
+	return r.leader.shards[machine.ShardOf(id)].leaderHeard
+}
+
+// checkLeaders records which leaders' reports arrive.
+func (r *routing) checkLeaders(now clock.Instant) {
+	for k := range r.leader.shards {
+		s := &r.leader.shards[k]
+		p := r.members.peers[s.leaderNode]
+		s.leaderHeard = p != nil && r.members.heard(p, now)
+	}
 }
 
 // fence returns the fence of this VM's term over a runner's shard; zero if it has none.
@@ -131,7 +146,7 @@
 	if r.manifest == nil || r.stopping {
 		return
 	}
-	r.members.planner = r.choosePlanner(now)
+	r.checkLeaders(now)
 	r.executePlan(r.leader.scheduler.Plan(r.members.planner == r.node, now), now)
 }
 
@@ -164,24 +179,6 @@
 	}
 }
 
-// choosePlanner returns the name of the VM that decides on placement: the one that has run longest, of those that
-// report and are not stopping. Two planners at the same time do no harm, since the leaders check each load request.
-func (r *routing) choosePlanner(now clock.Instant) string {
-	best, boot := r.node, r.boot
-	for name, p := range r.members.peers {
-		if p.stopping || p.sequence == 0 || now.Sub(p.heardAt) > r.members.silenceLimit() {
-			continue
-		}
-		if p.Boot < boot || p.Boot == boot && name < best {
-			best, boot = name, p.Boot
-		}
-	}
-	if best != r.members.planner {
-		r.log.Info("planner", "chosen", best, "before", r.members.planner)
-	}
-	return best
-}
-
 // apply passes the outcome of an order to the scheduler.
 func (m orderAnswered) apply(r *routing, now clock.Instant) {
 	r.leader.scheduler.HandleOutcome(m.order, m.outcome, now)
@@ -206,35 +203,42 @@
 	return err.Error()
 }
 
-// addLeaderState adds to a report the runner states that the peer lacks, the load requests for it and the terms that
-// this VM ended lately.
-func (r *routing) addLeaderState(report *link.Report, p *peer, now clock.Instant) {
+// addLeaderState adds to a report the runner states that a neighbour lacks and the terms that ended lately.
+func (r *routing) addLeaderState(report *link.Report, name string, p *peer, now clock.Instant) {
 	l := &r.leader
 	report.Version = l.scheduler.Version()
-	report.Views = l.scheduler.Views(p.knownVersion, l.fence, now)
-	report.Wishes, p.loadRequests = p.loadRequests, nil
+	report.Views = l.scheduler.Views(p.knownVersion, p.receiver(name), l.fence, now)
 	for k := range l.shards {
 		s := &l.shards[k]
-		if s.endedFence != 0 && now.Sub(s.endedAt) < endedTermPeriod {
-			report.Ended = append(report.Ended, link.EndedTerm{
-				Shard: machine.Shard(k), Fence: s.endedFence, Since: now.Sub(s.endedAt),
-			})
+		for _, ended := range []link.EndedTerm{
+			{Fence: s.endedFence, Since: now.Sub(s.endedAt)}, {Fence: s.releasedFence, Since: now.Sub(s.releasedAt)},
+		} {
+			if ended.Fence != 0 && ended.Since < endedTermPeriod {
+				ended.Shard = machine.Shard(k)
+				report.Ended = append(report.Ended, ended)
+			}
 		}
 	}
 }
 
-// applyLeaderState applies the states of the runners that a peer leads, its load requests and the terms that it ended.
-func (r *routing) applyLeaderState(in link.Report, now clock.Instant) {
+// applyLeaderState applies the states of runners and the ended terms that a neighbour reports.
+func (r *routing) applyLeaderState(in link.Report, p *peer, now clock.Instant) {
 	for _, v := range in.Views {
-		r.leader.scheduler.ApplyView(v, now)
-	}
-	for _, request := range in.Wishes {
-		r.executePlan(r.leader.scheduler.HandleLoadRequest(request, now), now)
+		r.leader.scheduler.ApplyView(v, in.Node, p.role == link.Child, now)
 	}
 	for _, e := range in.Ended {
-		if e.Shard >= 0 && e.Shard < machine.Shards {
-			s := &r.leader.shards[e.Shard]
+		if e.Shard < 0 || e.Shard >= machine.Shards {
+			continue
+		}
+		if s := &r.leader.shards[e.Shard]; e.Fence > s.releasedFence {
 			s.releasedFence, s.releasedAt = e.Fence, now.Add(-e.Since)
 		}
 	}
 }
+
+// applyLoadRequests carries out the planner's load requests.
+func (r *routing) applyLoadRequests(requests []machine.LoadRequest, now clock.Instant) {
+	for _, request := range requests {
+		r.executePlan(r.leader.scheduler.HandleLoadRequest(request, now), now)
+	}
+}
--- a/node/entry/members.go
+++ b/node/entry/members.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"strings"
 	"time"
 
@@ -11,6 +12,7 @@
 	"github.com/mangopass/mangopass/fleet/contract"
 	"github.com/mangopass/mangopass/fleet/link"
 	"github.com/mangopass/mangopass/fleet/machine"
+	"github.com/mangopass/mangopass/fleet/zone"
 )
 
 // Prefixes of mangopass's own keys in the platform's store. A leased key goes when the lease of its VM ends.
@@ -23,70 +25,131 @@
 
 // nodeEntry is the value of an entry VM's key in the store.
 type nodeEntry struct {
-	Address string `json:"address"` // IP:port for reports
-	Boot    int64  `json:"boot"`    // Unix nanoseconds of the process's start
+	Address string  `json:"address"` // IP:port for reports
+	Zone    zone.ID `json:"zone"`
+	Boot    int64   `json:"boot"` // Unix nanoseconds of the process's start
 }
 
 // peer is another entry VM.
 type peer struct {
 	nodeEntry
-	outbox            *ring.Ring[link.Report]
-	stopLink          context.CancelFunc
-	registered        bool          // its entry is in the store
-	heardAt           clock.Instant // time of its last report; before the first, when it was added
-	sequence          uint64        // of its last report; zero: none has come
-	stopping          bool
-	sentAt            clock.Instant                              // time of the last report to it
-	reportPending     bool                                       // a report to it has been sent and not yet confirmed
-	urgent            bool                                       // a report is due before its period ends
-	knownVersion      uint64                                     // version of this VM's runner states that it has
-	demand            map[machine.Artifact]*machine.DemandReport // demand that has not been reported to it
+	outbox     *ring.Ring[link.Report]
+	stopLink   context.CancelFunc
+	addedAt    clock.Instant // when this VM learned of its process
+	registered bool          // its entry is in the store
+	heardAt    clock.Instant // time of its last report; before the first, when it was added
+	listedAt   clock.Instant // when a relay last said that it hears the peer
+	sequence   uint64        // of its last report; zero: none has come
+	stopping   bool
+	seesUsAs   link.Role // as stated in its last report
+	planner    string    // as stated in its last report
+	members    []string  // VMs that it hears, as last stated
+
+	role       link.Role     // how this VM sees it
+	roleSince  clock.Instant // when that began
+	avoidUntil clock.Instant // it is not chosen as a relay before
+	failures   int           // reports to it in a row without an answer
+	complete   bool          // a complete report of it has been applied in this role
+
+	sentAt            clock.Instant // time of the last report to it
+	reportPending     bool          // a report to it has been sent and not yet confirmed
+	urgent            bool          // a report is due before its period ends
+	knownVersion      uint64        // version of this VM's runner states that it has
 	loadRequests      []machine.LoadRequest
 	unreportedCrashes []uint64                              // request digests of broken runs to report to it
-	needsAllLoads     bool                                  // the next report holds all loads, not just changed ones
-	allLoadsAt        clock.Instant                         // time when all loads were last sent to it
-	changedLoads      map[machine.Place]bool                // loads that changed since they were last reported to it
+	needsAll          bool                                  // the next report holds all loads and totals
+	allSentAt         clock.Instant                         // time when all were last sent to it
+	changed           link.Changes                          // loads that changed since they were last reported to it
+	series            int64                                 // identifies the running totals for it; see link.Report
 	reportedUsage     map[contract.OrganisationName]float64 // totals that were last reported to it
+	membersSent       uint64                                // version of the list of members that was last sent
 }
 
 // members is what this VM knows of the other entry VMs.
 type members struct {
 	peers     map[string]*peer
-	sequence  uint64
-	planner   string // name of the VM that decides on placement
+	sequence  uint64 // of the last report to any peer
+	series    int64  // the last one given to a peer; each starts after the process's boot
 	startLink func(name string, p *peer)
+
+	reviewedAt clock.Instant // last review of the tree
+	resumedAt  clock.Instant // end of the last suspension of this process
+	relays     zone.Relays
+	relay      string // name of the VM that relays for this one, or this VM's own
+	planner    string // name of the VM that decides on placement
+	below      int    // number of VMs for which this one relays
+	above      int    // number of relays to which this VM reports
+	fanOut     int    // the largest number of neighbours that a relay can have
+
+	listBelow []string // names of this VM and those below it
+	listAll   []string // the same with those that the other relays hear
+	version   uint64   // of the two lists
 }
 
 // count returns the number of entry VMs, this one included.
 func (m *members) count() int { return 1 + len(m.peers) }
 
-// periodFactor returns the factor by which the periods between reports grow with the number of entry VMs.
-func (m *members) periodFactor() time.Duration {
-	return time.Duration(max(1, m.count()/periodScaleVMs))
-}
-
 // silenceLimit returns the time without a report after which a peer counts as unreachable.
 func (m *members) silenceLimit() time.Duration {
 	return max(minSilenceLimit, minMissedReports*reportPeriod*m.periodFactor())
 }
 
+// heard reports whether a peer's reports arrive, directly or through relays.
+func (m *members) heard(p *peer, now clock.Instant) bool {
+	return p.sequence > 0 && now.Sub(p.heardAt) < m.silenceLimit() ||
+		p.listedAt != 0 && now.Sub(p.listedAt) < m.silenceLimit()
+}
+
 // heardShare returns the fraction of the entry VMs that this one hears, itself included. A peer that is only listed in
 // the store counts as not heard: after a restart of all VMs, each would otherwise admit a whole limit.
 func (m *members) heardShare(now clock.Instant) float64 {
 	return float64(1+m.countHeard(now)) / float64(m.count())
 }
 
-// countHeard returns the number of peers that have reported lately.
+// countHeard returns the number of peers whose reports arrive.
 func (m *members) countHeard(now clock.Instant) int {
 	n := 0
 	for _, p := range m.peers {
-		if p.sequence > 0 && now.Sub(p.heardAt) < m.silenceLimit() {
+		if m.heard(p, now) {
 			n++
 		}
 	}
 	return n
 }
 
+// listMembers brings the lists of members up to date.
+func (r *routing) listMembers() {
+	m := &r.members
+	below, all := []string{r.node}, []string{r.node}
+	for name, p := range m.peers {
+		switch p.role {
+		case link.Child:
+			below, all = append(below, name), append(all, name)
+		case link.Twin, link.Relay:
+			all = append(all, p.members...)
+		}
+	}
+	slices.Sort(below)
+	slices.Sort(all)
+	all = slices.Compact(all)
+	if !slices.Equal(below, m.listBelow) || !slices.Equal(all, m.listAll) {
+		m.listBelow, m.listAll = below, all
+		m.version++
+	}
+}
+
+// applyMembers records which VMs a neighbour hears.
+func (r *routing) applyMembers(p *peer, stated []string, now clock.Instant) {
+	if stated != nil {
+		p.members = stated
+	}
+	for _, name := range p.members {
+		if listed := r.members.peers[name]; listed != nil {
+			listed.listedAt = now
+		}
+	}
+}
+
 // applyOwnKeys applies changes of mangopass's own keys. If complete is set, keys that are not among them are gone.
 func (r *routing) applyOwnKeys(changes []ownKeyChange, complete bool, now clock.Instant) {
 	if complete {
@@ -146,15 +209,8 @@
 func (r *routing) addPeer(name string, e nodeEntry, now clock.Instant) *peer {
 	r.removePeer(name, now)
 	p := &peer{
-		nodeEntry: e, outbox: ring.New[link.Report]("report", 1), heardAt: now,
-		demand:        make(map[machine.Artifact]*machine.DemandReport),
-		needsAllLoads: true, changedLoads: make(map[machine.Place]bool),
-		reportedUsage: make(map[contract.OrganisationName]float64),
-	}
-	for _, c := range r.waiting {
-		if c.waiting {
-			demandFor(p.demand, c.artifact).Waiting++
-		}
+		nodeEntry: e, outbox: ring.New[link.Report]("report", 1), addedAt: now, heardAt: now,
+		needsAll: true, reportedUsage: make(map[contract.OrganisationName]float64),
 	}
 	r.members.peers[name] = p
 	r.members.startLink(name, p)
@@ -168,8 +224,7 @@
 		return
 	}
 	p.stopLink()
+	r.setRole(name, p, link.Stranger, now)
 	delete(r.members.peers, name)
-	r.table.SetPeer(name, nil)
-	r.leader.scheduler.RemoveNode(name, now)
 	r.log.Info("peer gone", "peer", name, "silent_ms", now.Sub(p.heardAt).Milliseconds(), "peers", len(r.members.peers))
 }
--- a/node/entry/message.go
+++ b/node/entry/message.go
@@ -137,7 +137,9 @@
 // reportDelivered says whether a peer has received a report.
 type reportDelivered struct {
 	node    string
-	boot    int64 // of the peer process to which the report was sent
+	boot    int64     // of the peer process to which the report was sent
+	role    link.Role // as in the report, like series and version
+	series  int64
 	version uint64
 	ok      bool
 }
--- a/node/entry/peerlink.go
+++ b/node/entry/peerlink.go
@@ -44,7 +44,10 @@
 			return
 		}
 		err = p.link.Call(ctx, reportTimeout, "Between.Report", report, &Received{})
-		done := reportDelivered{node: p.name, boot: p.boot, version: report.Version, ok: err == nil}
+		done := reportDelivered{
+			node: p.name, boot: p.boot, role: report.Receiver, series: report.Series, version: report.Version,
+			ok: err == nil,
+		}
 		if p.routing.Push(ctx, done) != nil {
 			return
 		}
--- a/node/entry/reports.go
+++ b/node/entry/reports.go
@@ -1,11 +1,14 @@
 package entry
 
 import (
+	"math"
+	"slices"
 	"time"
 
 	"github.com/mangopass/mangopass/duty/clock"
 	"github.com/mangopass/mangopass/fleet/contract"
 	"github.com/mangopass/mangopass/fleet/link"
+	"github.com/mangopass/mangopass/fleet/machine"
 )
 
 // Timing of the reports between entry VMs.
@@ -20,101 +23,175 @@
 	minMissedReports = 4
 	// forgetAfter is the time without a report after which a peer without an entry in the store is removed.
 	forgetAfter = 2 * time.Second
-	// allLoadsPeriod is the time after which all loads are sent to a peer again, so that a change which it missed stays
-	// unknown no longer than that.
-	allLoadsPeriod = 5 * time.Second
-	// periodScaleVMs sets how the report periods grow with the number n of entry VMs: by the factor n/periodScaleVMs,
-	// rounded down and at least 1. So what a VM sends in a second stays about the same for large n.
-	periodScaleVMs = 8
+	// wholePeriod is the time after which all loads and totals are sent to a neighbour again, so that a change which it
+	// missed stays unknown no longer than that.
+	wholePeriod = 5 * time.Second
+	// minWholePeriod is the shortest time between two complete reports to a neighbour that asks for them.
+	minWholePeriod = 200 * time.Millisecond
 )
 
 // sendReports sends the reports that are due.
 func (r *routing) sendReports(now clock.Instant) {
+	r.reviewTree(now)
+	r.listMembers()
 	share := r.members.heardShare(now)
 	for _, q := range r.quotas {
 		q.SetShare(share, now)
 	}
-	r.leader.scheduler.Observe(r.node, r.takeDemand(r.demand, now), now)
-	changed := r.table.TakeChanged()
+	if r.towardsPlanner() == nil {
+		r.leader.scheduler.Observe(r.node, r.demand.Take(r.waitingRequests(), now), now)
+	}
+	changes := r.table.TakeChanges()
 	for name, p := range r.members.peers {
-		for _, place := range changed {
-			p.changedLoads[place] = true
-		}
-		if !p.registered && now.Sub(p.heardAt) > forgetAfter {
+		if !p.registered && !r.members.heard(p, now) && now.Sub(p.heardAt) > forgetAfter {
 			r.removePeer(name, now)
 			continue
 		}
-		period := reportPeriod * r.members.periodFactor()
-		switch {
-		case p.urgent:
-			period = urgentPeriod
-		case p.knownVersion < r.leader.scheduler.Version():
-			period = urgentPeriod * r.members.periodFactor()
-		}
-		if p.reportPending || now.Sub(p.sentAt) < period {
-			continue
+		p.noteChanges(changes)
+		if !p.reportPending && now.Sub(p.sentAt) >= r.reportPeriod(p) {
+			r.sendReport(name, p, now)
 		}
-		r.sendReport(name, p, now)
 	}
 }
 
+// noteChanges adds changed loads to those that are to be reported to the peer.
+func (p *peer) noteChanges(c link.Changes) {
+	switch p.role {
+	case link.Relay, link.Twin:
+		p.changed.Below = append(p.changed.Below, c.Below...)
+	case link.Child:
+		p.changed.Runners = append(p.changed.Runners, c.Runners...)
+	}
+}
+
+// never is a period that does not end.
+const never = time.Duration(math.MaxInt64)
+
+// reportPeriod returns the time between two reports to a peer.
+func (r *routing) reportPeriod(p *peer) time.Duration {
+	m := &r.members
+	factor := m.periodFactor()
+	if p.role == link.Relay {
+		factor = 1 // a VM below a relay has only that neighbour
+	}
+	switch {
+	case p.urgent:
+		return urgentPeriod
+	case p.role == link.Stranger:
+		return never
+	case p.knownVersion < r.leader.scheduler.VersionFor(p.receiver("")):
+		return urgentPeriod * factor
+	}
+	return reportPeriod * factor
+}
+
+// receiver returns the peer as a receiver of views.
+func (p *peer) receiver(name string) machine.Receiver {
+	return machine.Receiver{Name: name, Below: p.role == link.Child}
+}
+
+// sendReport sends a report to a peer: all that is due to a neighbour, only load requests to another one.
 func (r *routing) sendReport(name string, p *peer, now clock.Instant) {
 	r.members.sequence++
-	if p.needsAllLoads = p.needsAllLoads || now.Sub(p.allLoadsAt) > allLoadsPeriod; p.needsAllLoads {
-		p.allLoadsAt = now
-	}
 	report := link.Report{
-		Node: r.node, Address: r.address, Boot: r.boot, Sequence: r.members.sequence, Stopping: r.stopping,
-		Struck: p.unreportedCrashes, Whole: p.needsAllLoads, Loads: r.loadsFor(p),
-		Spent: r.quotaUsageFor(name, p, now), Asked: r.takeDemand(p.demand, now),
+		Node: r.node, Address: r.address, Zone: r.zone, Boot: r.boot, Sequence: r.members.sequence, Receiver: p.role,
+		Relay: r.members.relay, Planner: r.members.planner, Stopping: r.stopping, Version: p.knownVersion,
+	}
+	if p.role != link.Stranger {
+		r.addNeighbourState(&report, name, p, now)
 	}
-	r.addLeaderState(&report, p, now)
-	p.unreportedCrashes = nil
-	if p.needsAllLoads = !p.outbox.TryPush(report); !p.needsAllLoads {
+	report.Wishes, p.loadRequests = p.loadRequests, nil
+	if p.needsAll = !p.outbox.TryPush(report); !p.needsAll {
 		p.reportPending, p.urgent, p.sentAt = true, false, now
 	}
 }
 
-// loadsFor returns the loads to report to a peer: all of them, or those that changed.
-func (r *routing) loadsFor(p *peer) []link.Load {
+// addNeighbourState adds what a neighbour does not know yet from elsewhere.
+func (r *routing) addNeighbourState(report *link.Report, name string, p *peer, now clock.Instant) {
+	if p.needsAll = p.needsAll || now.Sub(p.allSentAt) > wholePeriod; p.needsAll {
+		p.allSentAt = now
+	}
+	report.Whole, report.Incomplete = p.needsAll, !p.complete
+	report.Series = p.series
+	report.Loads, report.Spent = r.loadsFor(name, p), r.quotaUsageFor(name, p, now)
+	report.Struck, p.unreportedCrashes = p.unreportedCrashes, nil
+	if p == r.towardsPlanner() {
+		report.Asked = r.demand.Take(r.waitingRequests(), now)
+	}
+	if p.needsAll || p.membersSent != r.members.version {
+		p.membersSent, report.Members = r.members.version, r.members.listBelow
+		if p.role == link.Child {
+			report.Members = r.members.listAll
+		}
+	}
+	r.addLeaderState(report, name, p, now)
+}
+
+// loadsFor returns the loads to report to a neighbour: all of them, or those that changed. A VM below gets the sum of
+// each runner without its own part, a relay the loads of this VM and those below.
+func (r *routing) loadsFor(name string, p *peer) []link.Load {
 	var loads []link.Load
-	if p.needsAllLoads {
-		loads = r.table.Own()
-	} else {
-		for place := range p.changedLoads {
-			loads = append(loads, r.table.OwnAt(place))
+	switch {
+	case p.needsAll && p.role == link.Child:
+		loads = r.table.Others(name)
+	case p.needsAll:
+		loads = r.table.Below()
+	case p.role == link.Child:
+		slices.Sort(p.changed.Runners)
+		for _, id := range slices.Compact(p.changed.Runners) {
+			loads = append(loads, r.table.OthersAt(name, id))
+		}
+	default:
+		sent := make(map[machine.Place]bool, len(p.changed.Below))
+		for _, place := range p.changed.Below {
+			if !sent[place] {
+				sent[place] = true
+				loads = append(loads, r.table.BelowAt(place))
+			}
 		}
 	}
-	clear(p.changedLoads)
+	p.changed.Below, p.changed.Runners = p.changed.Below[:0], p.changed.Runners[:0]
 	return loads
 }
 
-// quotaUsageFor returns what this VM has admitted for the organisations whose totals are not yet reported to a peer.
+// quotaUsageFor returns the running totals that changed since they were last reported to a neighbour.
 func (r *routing) quotaUsageFor(name string, p *peer, now clock.Instant) []link.QuotaUsage {
 	var usage []link.QuotaUsage
 	for organisation, q := range r.quotas {
-		if reported, ok := p.reportedUsage[organisation]; !p.needsAllLoads && ok && reported == q.Own() {
+		total := q.TotalFor(name)
+		if reported, ok := p.reportedUsage[organisation]; !p.needsAll && ok && reported == total {
 			continue
 		}
-		p.reportedUsage[organisation] = q.Own()
+		p.reportedUsage[organisation] = total
 		usage = append(usage, link.QuotaUsage{
-			Organisation: organisation, Total: q.Own(), Level: q.Level(now), Heard: q.PeerTotal(name, p.Boot),
+			Organisation: organisation, Total: total, Level: q.Level(now), Heard: q.PeerTotal(name),
 		})
 	}
 	return usage
 }
 
 // apply records whether a peer has received a report.
-func (m reportDelivered) apply(r *routing, _ clock.Instant) {
+func (m reportDelivered) apply(r *routing, now clock.Instant) {
 	p := r.members.peers[m.node]
 	if p == nil || p.Boot != m.boot {
 		return
 	}
 	p.reportPending = false
-	if m.ok {
+	if !m.ok {
+		p.needsAll = true // whether the peer has applied the report is unknown
+		if p.failures++; p.failures >= maxDeliveryFailures {
+			p.avoidUntil = now.Add(avoidTime)
+		}
+		return
+	}
+	p.failures = 0
+	if m.role == p.role && m.series == p.series {
 		p.knownVersion = m.version
-	} else {
-		p.needsAllLoads = true // whether the peer has applied the report is unknown
+		for organisation, total := range p.reportedUsage {
+			if q := r.quotas[organisation]; q != nil {
+				q.Confirm(m.node, total)
+			}
+		}
 	}
 }
 
@@ -124,35 +201,107 @@
 	in := m.report
 	p := r.members.peers[in.Node]
 	if in.Node != r.node && (p == nil || in.Boot > p.Boot) {
-		p = r.addPeer(in.Node, nodeEntry{Address: in.Address, Boot: in.Boot}, now)
+		p = r.addPeer(in.Node, nodeEntry{Address: in.Address, Zone: in.Zone, Boot: in.Boot}, now)
 	}
 	if p == nil || p.Boot != in.Boot || in.Sequence <= p.sequence {
 		return
 	}
 	p.sequence, p.heardAt, p.stopping = in.Sequence, now, in.Stopping
-	if in.Whole {
-		r.table.SetPeer(in.Node, in.Loads)
-	} else {
+	p.seesUsAs, p.planner = in.Receiver, in.Planner
+	if in.Relay != in.Node && p.Zone != r.zone {
+		p.avoidUntil = now.Add(avoidTime) // no longer the relay of its zone
+	}
+	r.setRole(in.Node, p, r.roleOf(in.Node, p, now), now)
+	if answers(in.Receiver, p.role) {
+		r.applyNeighbourState(in, p, now)
+	} else if in.Receiver == link.Twin && !r.isRelay() {
+		p.urgent = true // tells the sender that this VM does not relay
+	}
+	r.applyLoadRequests(in.Wishes, now)
+}
+
+// answers reports whether two VMs see each other in matching roles.
+func answers(theirs, ours link.Role) bool {
+	switch ours {
+	case link.Relay:
+		return theirs == link.Child
+	case link.Child:
+		return theirs == link.Relay
+	case link.Twin:
+		return theirs == link.Twin
+	}
+	return false
+}
+
+// applyNeighbourState applies what a neighbour reports.
+func (r *routing) applyNeighbourState(in link.Report, p *peer, now clock.Instant) {
+	if in.Incomplete && now.Sub(p.allSentAt) > minWholePeriod {
+		p.needsAll, p.knownVersion = true, 0
+	}
+	switch {
+	case in.Whole:
+		p.complete = true
+		r.table.SetPeer(in.Node, nonNil(in.Loads))
+	case !p.complete:
+	default:
 		r.table.UpdatePeer(in.Node, in.Loads)
 	}
+	r.applyMembers(p, in.Members, now)
 	for _, usage := range in.Spent {
-		if o := r.organisation(contract.OrganisationName(usage.Organisation)); o != nil && o.Limit.PerSecond > 0 {
+		if o := r.organisation(usage.Organisation); o != nil && o.Limit.PerSecond > 0 {
 			r.applyQuotaUsage(r.quota(o, now), in, usage, now)
 		}
 	}
 	for _, digest := range in.Struck {
-		r.crashes.Add(digest, now)
+		r.countCrash(digest, in.Node, now)
+	}
+	r.applyDemand(in, p, now)
+	r.applyLeaderState(in, p, now)
+}
+
+// nonNil returns an empty slice instead of nil.
+func nonNil(loads []link.Load) []link.Load {
+	if loads == nil {
+		return []link.Load{}
+	}
+	return loads
+}
+
+// applyDemand applies the demand that a neighbour reports. That of a VM below is passed on towards the planner, at once
+// if requests wait.
+func (r *routing) applyDemand(in link.Report, p *peer, now clock.Instant) {
+	if p.role != link.Child {
+		r.leader.scheduler.Observe(in.Node, in.Asked, now)
+		return
+	}
+	r.demand.Merge(in.Node, in.Asked, now)
+	for _, d := range in.Asked {
+		if next := r.towardsPlanner(); next != nil && d.Waiting > 0 && d.Arrivals > 0 {
+			next.urgent = true
+			return
+		}
+	}
+}
+
+// countCrash counts a broken run of a request and passes it on to the neighbours that cannot know it from elsewhere;
+// source is the VM that reported it, empty for this one.
+func (r *routing) countCrash(digest uint64, source string, now clock.Instant) {
+	r.crashes.Add(digest, now)
+	from := r.members.peers[source]
+	for name, p := range r.members.peers {
+		if name != source && (p.role == link.Child || p.role != link.Stranger && (from == nil || from.role == link.Child)) {
+			p.unreportedCrashes = append(p.unreportedCrashes, digest)
+		}
 	}
-	r.leader.scheduler.Observe(in.Node, in.Asked, now)
-	r.applyLeaderState(in, now)
 }
 
-// applyQuotaUsage counts what a peer has admitted. When two VMs first hear of each other, the older one counts the
-// younger one's total from its start, and the younger one adopts the older one's level.
+// applyQuotaUsage counts what a neighbour reports as admitted. When two VMs first hear of each other, the older one
+// counts the younger one's total from its start, and the younger one adopts the older one's level. A relay always counts
+// the totals of the VMs below it.
 func (r *routing) applyQuotaUsage(q *contract.Quota, in link.Report, usage link.QuotaUsage, now clock.Instant) {
-	if q.KnowsPeer(in.Node, in.Boot) || in.Boot >= r.boot {
-		q.ApplyPeerUsage(in.Node, in.Boot, usage.Total, now)
+	if q.KnowsPeer(in.Node, in.Series) || in.Boot >= r.boot || in.Receiver == link.Relay {
+		q.ApplyPeerUsage(in.Node, in.Series, usage.Total, now)
 		return
 	}
-	q.AdoptPeerLevel(in.Node, in.Boot, usage.Total, usage.Level, usage.Heard, now)
+	q.AdoptPeerLevel(in.Node, in.Series, usage.Total, usage.Level, usage.Heard, now)
 }
--- a/node/entry/routing.go
+++ b/node/entry/routing.go
@@ -56,7 +56,7 @@
 	retryBudgets  map[contract.ServiceName]*link.RetryBudget
 	crashes       *link.CrashTracker
 	waiting       []*call
-	demand        map[machine.Artifact]*machine.DemandReport
+	demand        *machine.DemandBook
 
 	members members
 	leader  leader
@@ -71,13 +71,14 @@
 		table:        link.NewTable(s.Zones, random),
 		quotas:       make(map[contract.OrganisationName]*contract.Quota),
 		retryBudgets: make(map[contract.ServiceName]*link.RetryBudget),
-		crashes:      link.NewCrashTracker(), demand: make(map[machine.Artifact]*machine.DemandReport),
+		crashes:      link.NewCrashTracker(), demand: machine.NewDemandBook(),
 	}
-	r.leader.scheduler = machine.NewScheduler(r.fleet, r.table, &r.leader)
+	r.leader.scheduler = machine.NewScheduler(r.fleet, r.table, r)
 	for k := range r.leader.shards {
 		r.leader.shards[k].holderKey.gone = true
 	}
-	r.members.peers = make(map[string]*peer)
+	r.members.peers, r.members.relay, r.members.planner = make(map[string]*peer), r.node, r.node
+	r.members.series = boot
 	r.bodyLimit.Store(defaultBodyBytes)
 	return r
 }
--- a/node/entry/storechanges.go
+++ b/node/entry/storechanges.go
@@ -80,6 +80,7 @@
 		switch r.fleet.Announce(a, now) {
 		case machine.Unchanged, machine.Outdated:
 		default:
+			r.leader.scheduler.RunnerAnnounced(a.ID, now)
 			r.log.Info("runner changed", "runner", a.ID, "service", a.Service, "zone", a.Zone,
 				"boot", a.Boot, "draining", a.Draining)
 		}
--- a/node/entry/terms.go
+++ b/node/entry/terms.go
@@ -64,10 +64,11 @@
 	if c.revision < s.holderKey.revision {
 		return
 	}
+	lost := s.holderKey.revision
 	s.holderKey = c
 	if c.gone {
 		s.leaderNode = ""
-		r.leader.scheduler.LeaderLost(k)
+		r.leader.scheduler.LeaderLost(k, lost)
 		r.endTerm(k, "holder key removed", now)
 		return
 	}
@@ -135,7 +136,8 @@
 	delay := time.Duration(r.rank(k)) * claimStagger
 	if s.lastTermKey.value == nil {
 		delay += registrationWait
-	} else if p := r.members.peers[last.Node]; p != nil && !p.stopping {
+	} else if p := r.members.peers[last.Node]; p != nil && !p.stopping &&
+		s.releasedFence != s.lastTermKey.revision {
 		delay += lastHolderDelay
 	}
 	if share := (machine.Shards + r.members.count() - 1) / r.members.count(); r.leader.heldShards(now) >= share {
