Pass the store's changes on through relays

Cause: each of N VMs polled a watch every 0.8 s.

Change: a relay watches the store and passes on to the VMs below it what changed, as far as its log of changes reaches back, without heartbeats of runners that say nothing new. A VM's own watch rests while such feeds come and are younger than what a quiet watch proves; otherwise it reads the store itself. The proof that the manifest is the newest is dated from when the VM sent the report that the feed answers, so a relay or a report that is delayed, suspended or replayed can't make a withdrawn key look valid for longer.

--- a/fleet/link/freshness.go
+++ b/fleet/link/freshness.go
@@ -24,6 +24,9 @@
 // the store call that showed it. An instant before the last confirmation has no effect.
 func (f *Freshness) Confirm(at clock.Instant) { f.confirmedAt = max(f.confirmedAt, at) }
 
+// ConfirmedAt returns the instant of the last confirmation, and false if there was none.
+func (f *Freshness) ConfirmedAt() (clock.Instant, bool) { return f.confirmedAt, f.confirmedAt != 0 }
+
 // Fresh reports whether requests with API keys may be served.
 func (f *Freshness) Fresh(now clock.Instant) bool {
 	return f.confirmedAt != 0 && now.Sub(f.confirmedAt) < f.bound
--- a/fleet/link/report.go
+++ b/fleet/link/report.go
@@ -43,6 +43,9 @@
 	Asked      []machine.DemandReport // requests since the last report, and those waiting now; only towards the planner
 	Struck     []uint64               // digests of requests with a broken run since the last report, once for each run
 
+	StoreRevision int64      // revision of the platform's store up to which the sender knows the changes
+	Feed          *StoreFeed // what changed in the store since; only to a VM below the sender
+
 	Version uint64                // version of the sender's runner states; it grows with each change of one
 	Views   []machine.RunnerView  // states of runners, as far as the receiver lacks them
 	Wishes  []machine.LoadRequest // requests to load models or adapters on runners that the receiver leads
--- a/fleet/machine/runner.go
+++ b/fleet/machine/runner.go
@@ -98,6 +98,16 @@
 	return !r.Draining && (r.LeavesAt == 0 || now.Before(r.LeavesAt))
 }
 
+// Missing reports whether the runner's entry lapsed during an outage of the store and has not come back.
+func (r *Runner) Missing() bool { return r.missingSince != 0 }
+
+// SameAs reports whether an announcement states nothing new of the runner but its heartbeat and its contents.
+func (r *Runner) SameAs(a Announcement) bool {
+	return r.Boot == a.Boot && r.Service == a.Service && r.Address == a.Address && r.Zone == a.Zone &&
+		r.Slots == a.Slots && r.Draining == a.Draining && r.Engine == (r.Engine || a.HasEngine) &&
+		(r.LeavesAt != 0) == (a.LeavesIn > 0)
+}
+
 // Replica returns the replica of a model, or nil.
 func (r *Runner) Replica(m contract.ModelName) *Replica { return r.Replicas[m] }
 
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -45,6 +45,9 @@
 	answerReserve = 400 * time.Millisecond
 	// ordersCapacity limits the orders and state queries that wait for a duty to send them.
 	ordersCapacity = 64
+	// feedsCapacity limits the feeds of the store that the watch has not read yet. One that finds the ring full is left
+	// out; the watch then reads the store itself.
+	feedsCapacity = 16
 )
 
 // Entry is an entry VM's process.
@@ -98,10 +101,12 @@
 	r := e.routing
 	r.leader.orders = ring.New[orderJob]("orders", ordersCapacity)
 	r.leader.claims = ring.New[claim]("claims", 2*machine.Shards)
+	r.feeds = ring.New[storeFed]("feeds", feedsCapacity)
 	r.members.startLink = e.startPeerLink
 	metrics.RegisterRing(registry, r.intake)
 	metrics.RegisterRing(registry, r.leader.orders)
 	metrics.RegisterRing(registry, r.leader.claims)
+	metrics.RegisterRing(registry, r.feeds)
 	e.sink.RegisterMetrics(registry)
 	e.group.Go("routing", r.run)
 	for range orderDuties {
@@ -117,7 +122,7 @@
 		path: e.settingsPath, text: e.settingsText, store: store, routing: r.intake, log: e.log,
 	}
 	e.group.Go("reload", reloader.run)
-	e.group.Go("watch", (&watch{store: store, routing: r.intake, log: e.log}).run)
+	e.group.Go("watch", (&watch{store: store, routing: r.intake, feeds: r.feeds, log: e.log}).run)
 }
 
 // startPeerLink starts the duty that reports to a peer.
--- /dev/null
+++ b/node/entry/feed.go
@@ -0,0 +1,78 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/mangopass/mangopass/duty/clock"
+	"github.com/mangopass/mangopass/fleet/link"
+	"github.com/mangopass/mangopass/platform"
+)
+
+// Relays watch the platform's store and pass its changes on to the VMs below, which read the store themselves only while
+// they get no such feed.
+const (
+	// maxFeedAge is the age of a feed's proof of freshness from which on a VM asks the store itself. A quiet watch
+	// answers after watchWait and watchPause.
+	maxFeedAge = watchWait + watchPause + 400*time.Millisecond
+	// maxAnswerAge is how long this VM remembers when it sent a report, to date the feed that answers it.
+	maxAnswerAge = 5 * time.Second
+)
+
+// storeFed tells the watch that a relay has passed on all changes up to a revision, and how long the watch may rest.
+type storeFed struct {
+	revision int64
+	rest     time.Duration
+}
+
+// noteSent remembers when a report to the relay was made.
+func (m *members) noteSent(sequence uint64, now clock.Instant) {
+	m.sentAt[sequence] = now
+	for s, at := range m.sentAt {
+		if now.Sub(at) > maxAnswerAge {
+			delete(m.sentAt, s)
+		}
+	}
+}
+
+// feedFor returns the changes of the store that a VM below has not got yet, with the proof that they are all; nil if
+// the VM has not read the store yet, or if this one does not know what changed since.
+func (r *routing) feedFor(p *peer) *link.StoreFeed {
+	from := max(p.storeRevision, p.fedRevision)
+	confirmedAt, confirmed := r.freshness.ConfirmedAt()
+	if p.storeRevision == 0 || !confirmed {
+		return nil
+	}
+	entries, complete := r.changes.Since(from)
+	if !complete {
+		return nil
+	}
+	p.feedSent = r.changes.Revision()
+	return &link.StoreFeed{
+		From: from, To: r.changes.Revision(), Entries: entries, Outage: r.storeOutage,
+		Boot: p.Boot, Answers: p.sequence, Age: p.heardAt.Sub(confirmedAt),
+	}
+}
+
+// applyFeed applies the store's changes that a relay passes on, if none is missing between them and what this VM knows.
+func (r *routing) applyFeed(f *link.StoreFeed, now clock.Instant) {
+	if f == nil || f.Boot != r.boot || r.changes.Revision() < f.From || f.To < r.changes.Revision() {
+		return
+	}
+	sentAt, known := r.members.sentAt[f.Answers]
+	if !known {
+		return
+	}
+	proof := min(sentAt.Add(-f.Age), now)
+	var entries []platform.Entry
+	for _, e := range f.Entries {
+		if e.Revision > r.changes.Revision() {
+			entries = append(entries, platform.Entry(e))
+		}
+	}
+	change := decodeChange(entries)
+	change.revision, change.outage, change.sent = f.To, f.Outage, proof
+	change.apply(r, now)
+	if now.Sub(proof) < maxFeedAge && r.feeds != nil {
+		r.feeds.TryPush(storeFed{revision: f.To, rest: r.members.silenceLimit()})
+	}
+}
--- a/node/entry/members.go
+++ b/node/entry/members.go
@@ -45,11 +45,14 @@
 	planner    string    // as stated in its last report
 	members    []string  // VMs that it hears, as last stated
 
-	role       link.Role     // how this VM sees it
-	roleSince  clock.Instant // when that began
-	avoidUntil clock.Instant // it is not chosen as a relay before
-	failures   int           // reports to it in a row without an answer
-	complete   bool          // a complete report of it has been applied in this role
+	role          link.Role     // how this VM sees it
+	roleSince     clock.Instant // when that began
+	avoidUntil    clock.Instant // it is not chosen as a relay before
+	failures      int           // reports to it in a row without an answer
+	storeRevision int64         // up to which it knows the store's changes, as last stated
+	fedRevision   int64         // up to which this VM has passed them on
+	feedSent      int64         // up to which the report under way passes them on
+	complete      bool          // a complete report of it has been applied in this role
 
 	sentAt            clock.Instant // time of the last report to it
 	reportPending     bool          // a report to it has been sent and not yet confirmed
@@ -68,8 +71,9 @@
 // members is what this VM knows of the other entry VMs.
 type members struct {
 	peers     map[string]*peer
-	sequence  uint64 // of the last report to any peer
-	series    int64  // the last one given to a peer; each starts after the process's boot
+	sequence  uint64                   // of the last report to any peer
+	series    int64                    // the last one given to a peer; each starts after the process's boot
+	sentAt    map[uint64]clock.Instant // when recent reports to the relay were made, by sequence
 	startLink func(name string, p *peer)
 
 	reviewedAt clock.Instant // last review of the tree
--- a/node/entry/message.go
+++ b/node/entry/message.go
@@ -9,6 +9,7 @@
 	"github.com/mangopass/mangopass/fleet/contract"
 	"github.com/mangopass/mangopass/fleet/link"
 	"github.com/mangopass/mangopass/fleet/machine"
+	"github.com/mangopass/mangopass/platform"
 )
 
 // message is an input of the routing duty's ring. apply carries out its effect on the duty's state.
@@ -101,9 +102,10 @@
 
 // storeChanged carries changed entries of the platform's store.
 type storeChanged struct {
-	manifest []byte // nil: no change
+	manifest *platform.Entry // nil: no change
 	runners  []runnerChange
 	ownKeys  []ownKeyChange
+	revision int64         // the changes up to it are known now
 	complete bool          // a full listing: what it does not name does not exist
 	outage   bool          // the store was unavailable shortly before, so entries may be missing because of that
 	sent     clock.Instant // when the call that returned them was sent
@@ -112,6 +114,7 @@
 // runnerChange is a runner's new or changed entry, or its removal.
 type runnerChange struct {
 	id           machine.RunnerID
+	entry        platform.Entry // as read from the store
 	announcement machine.Announcement
 	gone         bool
 	invalid      error // why the entry cannot be used; nil: it can
--- a/node/entry/reports.go
+++ b/node/entry/reports.go
@@ -112,7 +112,13 @@
 		p.allSentAt = now
 	}
 	report.Whole, report.Incomplete = p.needsAll, !p.complete
-	report.Series = p.series
+	report.Series, report.StoreRevision = p.series, r.changes.Revision()
+	switch p.role {
+	case link.Relay:
+		r.members.noteSent(report.Sequence, now)
+	case link.Child:
+		report.Feed = r.feedFor(p)
+	}
 	report.Loads, report.Spent = r.loadsFor(name, p), r.quotaUsageFor(name, p, now)
 	report.Struck, p.unreportedCrashes = p.unreportedCrashes, nil
 	if p == r.towardsPlanner() {
@@ -178,7 +184,7 @@
 	}
 	p.reportPending = false
 	if !m.ok {
-		p.needsAll = true // whether the peer has applied the report is unknown
+		p.needsAll, p.fedRevision = true, 0 // whether the peer has applied the report is unknown
 		if p.failures++; p.failures >= maxDeliveryFailures {
 			p.avoidUntil = now.Add(avoidTime)
 		}
@@ -186,7 +192,7 @@
 	}
 	p.failures = 0
 	if m.role == p.role && m.series == p.series {
-		p.knownVersion = m.version
+		p.knownVersion, p.fedRevision = m.version, p.feedSent
 		for organisation, total := range p.reportedUsage {
 			if q := r.quotas[organisation]; q != nil {
 				q.Confirm(m.node, total)
@@ -207,7 +213,7 @@
 		return
 	}
 	p.sequence, p.heardAt, p.stopping = in.Sequence, now, in.Stopping
-	p.seesUsAs, p.planner = in.Receiver, in.Planner
+	p.seesUsAs, p.planner, p.storeRevision = in.Receiver, in.Planner, in.StoreRevision
 	if in.Relay != in.Node && p.Zone != r.zone {
 		p.avoidUntil = now.Add(avoidTime) // no longer the relay of its zone
 	}
@@ -256,6 +262,7 @@
 		r.countCrash(digest, in.Node, now)
 	}
 	r.applyDemand(in, p, now)
+	r.applyFeed(in.Feed, now)
 	r.applyLeaderState(in, p, now)
 }
 
--- a/node/entry/routing.go
+++ b/node/entry/routing.go
@@ -49,7 +49,10 @@
 
 	manifest      *contract.Manifest
 	freshness     link.Freshness
-	runnersListed bool // the list of runners has been read
+	changes       *link.ChangeLog      // of the store, as far as the VMs below need them
+	feeds         *ring.Ring[storeFed] // to the watch
+	storeOutage   bool                 // as in the last change of the store
+	runnersListed bool                 // the list of runners has been read
 	fleet         *machine.Fleet
 	table         *link.Table
 	quotas        map[contract.OrganisationName]*contract.Quota
@@ -67,7 +70,7 @@
 	r := &routing{
 		node: s.ID, address: s.PeerAddress(), zone: zone.ID(s.Zone), boot: boot, rules: s.Rules, log: log, metrics: m,
 		rand: random, intake: ring.New[message]("routing", intakeCapacity),
-		freshness: link.NewFreshness(freshnessBound(s.Rules)), fleet: machine.NewFleet(),
+		freshness: link.NewFreshness(freshnessBound(s.Rules)), changes: link.NewChangeLog(), fleet: machine.NewFleet(),
 		table:        link.NewTable(s.Zones, random),
 		quotas:       make(map[contract.OrganisationName]*contract.Quota),
 		retryBudgets: make(map[contract.ServiceName]*link.RetryBudget),
@@ -78,7 +81,7 @@
 		r.leader.shards[k].holderKey.gone = true
 	}
 	r.members.peers, r.members.relay, r.members.planner = make(map[string]*peer), r.node, r.node
-	r.members.series = boot
+	r.members.series, r.members.sentAt = boot, make(map[uint64]clock.Instant)
 	r.bodyLimit.Store(defaultBodyBytes)
 	return r
 }
--- a/node/entry/routing_test.go
+++ b/node/entry/routing_test.go
@@ -16,6 +16,7 @@
 	"github.com/mangopass/mangopass/fleet/contract"
 	"github.com/mangopass/mangopass/fleet/machine"
 	"github.com/mangopass/mangopass/node/settings"
+	"github.com/mangopass/mangopass/platform"
 )
 
 const t0 = clock.Instant(time.Hour)
@@ -80,10 +81,15 @@
 	return data
 }
 
+// manifestEntry returns the store's entry of a manifest.
+func manifestEntry(value []byte) *platform.Entry {
+	return &platform.Entry{Key: platform.KeyManifest, Value: value}
+}
+
 // setUp puts a manifest in force, announces runners of the plain service and advances the time until the quotas have
 // refilled.
 func (h *harness) setUp(runners ...machine.RunnerID) {
-	change := storeChanged{manifest: testManifest(1), complete: true, sent: h.now}
+	change := storeChanged{manifest: manifestEntry(testManifest(1)), complete: true, sent: h.now}
 	for _, id := range runners {
 		change.runners = append(change.runners, runnerChange{id: id, announcement: machine.Announcement{
 			ID: id, Service: "s", Address: "1.1.1.1:1", Zone: "z", Slots: 6,
@@ -159,9 +165,9 @@
 // return, or by one that cannot be decoded.
 func TestOlderManifestIsIgnored(t *testing.T) {
 	h := newHarness()
-	h.apply(storeChanged{manifest: testManifest(9), sent: h.now})
-	h.apply(storeChanged{manifest: testManifest(3), sent: h.now})
-	h.apply(storeChanged{manifest: []byte("{"), sent: h.now})
+	h.apply(storeChanged{manifest: manifestEntry(testManifest(9)), sent: h.now})
+	h.apply(storeChanged{manifest: manifestEntry(testManifest(3)), sent: h.now})
+	h.apply(storeChanged{manifest: manifestEntry([]byte("{")), sent: h.now})
 	if h.manifestVersion() != 9 {
 		t.Errorf("manifest version %d is in force, want 9", h.manifestVersion())
 	}
--- a/node/entry/storechanges.go
+++ b/node/entry/storechanges.go
@@ -3,14 +3,20 @@
 import (
 	"github.com/mangopass/mangopass/duty/clock"
 	"github.com/mangopass/mangopass/fleet/contract"
+	"github.com/mangopass/mangopass/fleet/link"
 	"github.com/mangopass/mangopass/fleet/machine"
 	"github.com/mangopass/mangopass/platform"
 )
 
-// apply applies what the watch has read from the platform's store.
+// apply applies what the watch has read from the platform's store, or a relay has passed on.
 func (m storeChanged) apply(r *routing, now clock.Instant) {
+	r.storeOutage = m.outage
+	if m.complete {
+		r.changes.Restart(m.revision)
+	}
 	if m.manifest != nil {
-		r.applyManifest(m.manifest, now)
+		r.changes.Record(link.StoreEntry(*m.manifest))
+		r.applyManifest(m.manifest.Value, now)
 	}
 	if r.manifest != nil {
 		r.freshness.Confirm(m.sent)
@@ -18,6 +24,9 @@
 	present := make(map[machine.RunnerID]bool, len(m.runners))
 	for _, change := range m.runners {
 		present[change.id] = true
+		if r.isNews(change) {
+			r.changes.Record(link.StoreEntry(change.entry))
+		}
 		r.applyRunner(change, m.outage, now)
 	}
 	if m.complete {
@@ -29,9 +38,21 @@
 		r.runnersListed = true
 	}
 	r.table.Prune(r.fleet)
+	for _, c := range m.ownKeys {
+		r.changes.Record(link.StoreEntry{Key: c.key, Value: c.value, Revision: c.revision, Deleted: c.gone})
+	}
+	r.changes.Advance(m.revision)
 	r.applyOwnKeys(m.ownKeys, m.complete, now)
 }
 
+// isNews reports whether a runner's entry says more than that the runner lives, or what it holds: its leader reports
+// that. Only such entries are passed on to the VMs below.
+func (r *routing) isNews(change runnerChange) bool {
+	runner := r.fleet.Get(change.id)
+	return runner == nil || change.gone || change.invalid != nil || runner.Missing() ||
+		!runner.SameAs(change.announcement)
+}
+
 // applyManifest puts a manifest in force unless it is malformed or not newer.
 func (r *routing) applyManifest(value []byte, now clock.Instant) {
 	m, err := platform.DecodeManifest(value)
--- a/node/entry/tree.go
+++ b/node/entry/tree.go
@@ -115,7 +115,7 @@
 	p.role, p.roleSince, p.series, p.knownVersion = role, now, r.members.series, 0
 	p.needsAll, p.complete, p.failures = true, false, 0
 	clear(p.reportedUsage)
-	p.membersSent = 0
+	p.membersSent, p.fedRevision, p.feedSent = 0, 0, 0
 	if role == link.Stranger {
 		r.table.SetPeer(name, nil)
 	} else {
--- a/node/entry/watch.go
+++ b/node/entry/watch.go
@@ -6,7 +6,6 @@
 	"strings"
 	"time"
 
-	"github.com/mangopass/mangopass/duty"
 	"github.com/mangopass/mangopass/duty/clock"
 	"github.com/mangopass/mangopass/duty/ring"
 	"github.com/mangopass/mangopass/platform"
@@ -32,6 +31,7 @@
 type watch struct {
 	store   *platform.Store
 	routing *ring.Ring[message]
+	feeds   *ring.Ring[storeFed]
 	log     *slog.Logger
 
 	revision      int64         // the next watch continues from here; zero: list everything first
@@ -46,12 +46,32 @@
 		if w.poll(ctx) {
 			pause = watchPause
 		}
-		if !duty.Pause(ctx, pause) {
+		if !w.rest(ctx, pause) {
 			return
 		}
 	}
 }
 
+// rest waits for the given time, and longer while a relay passes on the store's changes. It reports false if the context
+// ends.
+func (w *watch) rest(ctx context.Context, pause time.Duration) bool {
+	deadline := time.Now().Add(pause)
+	buf := make([]storeFed, 1)
+	for {
+		n, err := w.feeds.PopBatchUntil(ctx, deadline, buf)
+		if err != nil {
+			return false
+		}
+		if n == 0 {
+			return true
+		}
+		if fed := buf[0]; w.revision != 0 && fed.revision >= w.revision {
+			w.revision, w.answeredAt = fed.revision, clock.Now()
+			deadline = time.Now().Add(fed.rest)
+		}
+	}
+}
+
 // poll makes one call to the store and passes the result to the routing duty. It reports whether the store answered.
 func (w *watch) poll(ctx context.Context) bool {
 	sent := clock.Now()
@@ -80,7 +100,7 @@
 	}
 	w.revision = revision
 	change := decodeChange(entries)
-	change.complete, change.sent = complete, sent
+	change.complete, change.sent, change.revision = complete, sent, revision
 	change.outage = w.outageEndedAt != 0 && now.Sub(w.outageEndedAt) < outageRecovery
 	_ = w.routing.Push(ctx, change) // fails only when the process stops
 	return true
@@ -108,12 +128,12 @@
 		id, isRunner := platform.RunnerID(e.Key)
 		switch {
 		case e.Key == platform.KeyManifest && !e.Deleted:
-			out.manifest = e.Value
+			out.manifest = &e
 		case isRunner && e.Deleted:
-			out.runners = append(out.runners, runnerChange{id: id, gone: true})
+			out.runners = append(out.runners, runnerChange{id: id, entry: e, gone: true})
 		case isRunner:
 			a, err := platform.DecodeRunner(e)
-			out.runners = append(out.runners, runnerChange{id: id, announcement: a, invalid: err})
+			out.runners = append(out.runners, runnerChange{id: id, entry: e, announcement: a, invalid: err})
 		case strings.HasPrefix(e.Key, prefixOwn):
 			out.ownKeys = append(out.ownKeys, ownKeyChange{
 				key: e.Key, value: e.Value, revision: e.Revision, gone: e.Deleted,
