--- a/node/entry/callers.go
+++ b/node/entry/callers.go
@@ -220,7 +220,7 @@
 			if !x.headWritten {
 				x.writeHead(answer)
 			}
-			return nil
+			return x.forwardEvent(event) // comments after the last event
 		}
 		if err != nil {
 			return err
@@ -247,6 +247,9 @@
 }
 
 func (x *exchange) forwardEvent(event platform.Event) error {
+	if len(event.Data) == 0 {
+		return nil
+	}
 	if _, err := x.w.Write(event.Data); err != nil {
 		return errors.Wrap(err, "write to caller")
 	}
