Read first what can still be in time, and refuse at once what can't be answered

Cause: under load an engine read requests in the order of arrival. `priority` was decoded and not used.

Change: a call is timely if the timely prefill queued at the runner, its own and the first token leave it in time. Timely calls get the rank of their organisation or route (0 to 4) at the runner, late ones the same after all of them (5 to 9), and the load reports tell both apart, so the estimates of all VMs agree. A call for which every runner's queue is longer than its deadline is refused at once, with a delay between half of the queue and all of it, at random. A late call has no silence limit before its first event, and its delay does not count as slowness of the runner.

Ranks, refusals with their delays and refunds, and a refusal after a broken run that doesn't say "not run".

--- a/fleet/contract/manifest.go
+++ b/fleet/contract/manifest.go
@@ -19,7 +19,7 @@
 type Organisation struct {
 	Name     OrganisationName
 	Keys     []KeyHash
-	Priority int
+	Priority *int // 0 is the most urgent; goes before a route's priority; nil: not stated
 	Limit    Limit
 }
 
--- a/fleet/link/ledger.go
+++ b/fleet/link/ledger.go
@@ -21,6 +21,7 @@
 type runnerTotal struct {
 	running           int
 	queued            time.Duration
+	timely            time.Duration
 	runningByArtifact map[machine.Artifact]int // number of running requests; zeros are deleted
 }
 
@@ -33,14 +34,15 @@
 
 // add adds the change of a load to the sums. below says whether the load is this VM's or that of a VM for which it
 // relays.
-func (l *ledger) add(p machine.Place, running int, queued time.Duration, below bool) {
-	if running == 0 && queued == 0 {
+func (l *ledger) add(p machine.Place, change Load, below bool) {
+	if change.Running == 0 && change.Queued == 0 && change.Timely == 0 {
 		return
 	}
 	sum := l.totalFor(p.Runner)
-	sum.running += running
-	sum.queued += queued
-	if sum.runningByArtifact[p.Artifact] += running; sum.runningByArtifact[p.Artifact] == 0 {
+	sum.running += change.Running
+	sum.queued += change.Queued
+	sum.timely += change.Timely
+	if sum.runningByArtifact[p.Artifact] += change.Running; sum.runningByArtifact[p.Artifact] == 0 {
 		delete(sum.runningByArtifact, p.Artifact)
 	}
 	l.changedRunners[p.Runner] = true
@@ -49,8 +51,9 @@
 	}
 	load := l.below[p]
 	load.Runner, load.Artifact = p.Runner, p.Artifact
-	load.Running += running
-	load.Queued += queued
+	load.Running += change.Running
+	load.Queued += change.Queued
+	load.Timely += change.Timely
 	l.changedBelow[p] = true
 	if load.Running == 0 && load.Queued == 0 {
 		delete(l.below, p)
--- a/fleet/link/link.go
+++ b/fleet/link/link.go
@@ -18,6 +18,7 @@
 	Artifact machine.Artifact
 	Running  int           // number of these requests
 	Queued   time.Duration // expected prefill time of those without a first event yet
+	Timely   time.Duration // the part of Queued of requests that are expected to meet their latency objective
 }
 
 // Parameters by which the answers of a runner change its failure rate, ejection and slowness. The moving averages are
@@ -35,6 +36,9 @@
 	slownessWeight = 0.15
 )
 
+// negated returns the change that removes the load.
+func (l *Load) negated() Load { return Load{Running: -l.Running, Queued: -l.Queued, Timely: -l.Timely} }
+
 // RunnerLink holds one entry VM's load, failures and latency of one runner, and the prompt prefixes cached there.
 type RunnerLink struct {
 	id           machine.RunnerID
@@ -54,35 +58,46 @@
 	}
 }
 
-// Sent counts a request that is sent to the runner; prefill is its expected prefill time.
-func (l *RunnerLink) Sent(a machine.Artifact, prefill time.Duration) {
+// Sent counts a request that is sent to the runner; prefill is its expected prefill time, timely says whether it is
+// expected to meet its latency objective.
+func (l *RunnerLink) Sent(a machine.Artifact, prefill time.Duration, timely bool) {
 	load := l.ownLoads[a]
 	if load == nil {
 		load = &Load{Runner: l.id, Artifact: a}
 		l.ownLoads[a] = load
 	}
-	l.adjustLoad(load, 1, prefill)
+	l.adjustLoad(load, Load{Running: 1, Queued: prefill, Timely: timelyPart(prefill, timely)})
+}
+
+func timelyPart(prefill time.Duration, timely bool) time.Duration {
+	if timely {
+		return prefill
+	}
+	return 0
 }
 
 // adjustLoad changes an own load and the sums by the given amounts.
-func (l *RunnerLink) adjustLoad(load *Load, running int, queued time.Duration) {
-	load.Running += running
-	load.Queued += queued
-	l.ledger.add(machine.Place{Runner: l.id, Artifact: load.Artifact}, running, queued, true)
+func (l *RunnerLink) adjustLoad(load *Load, change Load) {
+	load.Running += change.Running
+	load.Queued += change.Queued
+	load.Timely += change.Timely
+	l.ledger.add(machine.Place{Runner: l.id, Artifact: load.Artifact}, change, true)
 }
 
 // close subtracts this VM's loads from the total, because the runner is gone or has restarted.
 func (l *RunnerLink) close() {
 	for _, load := range l.ownLoads {
-		l.adjustLoad(load, -load.Running, -load.Queued)
+		l.adjustLoad(load, load.negated())
 	}
 }
 
 // Started counts the first event of an answer: the request no longer waits for its prefill, and the ratio of the time
 // taken to the time expected enters the runner's slowness. An expected time of zero leaves the slowness as it is.
-func (l *RunnerLink) Started(a machine.Artifact, prefill, took, expected time.Duration) {
+func (l *RunnerLink) Started(a machine.Artifact, prefill time.Duration, timely bool, took, expected time.Duration) {
 	if load := l.ownLoads[a]; load != nil {
-		l.adjustLoad(load, 0, -min(prefill, load.Queued))
+		l.adjustLoad(load, Load{
+			Queued: -min(prefill, load.Queued), Timely: -min(timelyPart(prefill, timely), load.Timely),
+		})
 	}
 	if expected > 0 {
 		ratio := math.Min(took.Seconds()/expected.Seconds(), maxSlownessSample)
@@ -99,8 +114,8 @@
 	if load == nil {
 		return
 	}
-	if l.adjustLoad(load, -1, 0); load.Running <= 0 {
-		l.adjustLoad(load, 0, -load.Queued)
+	if l.adjustLoad(load, Load{Running: -1}); load.Running <= 0 {
+		l.adjustLoad(load, load.negated())
 		delete(l.ownLoads, a)
 	}
 }
--- a/fleet/link/link_test.go
+++ b/fleet/link/link_test.go
@@ -166,7 +166,7 @@
 func TestRestartedRunnerHasNewLink(t *testing.T) {
 	f, table := twoRunners()
 	a := machine.Artifact{Service: "s", Model: "m"}
-	table.Link(f.Get("near")).Sent(a, time.Second)
+	table.Link(f.Get("near")).Sent(a, time.Second, true)
 	place := machine.Place{Runner: "near", Artifact: a}
 	if table.Running(place) != 1 || table.Queued("near") != time.Second {
 		t.Fatal("a sent request is not counted as running, or its prefill time not as queued")
--- a/fleet/link/table.go
+++ b/fleet/link/table.go
@@ -17,19 +17,23 @@
 	Prompt       []contract.PromptPart // parts that other requests may share, from the start of the prompt
 	From         zone.ID               // zone of this entry VM
 	Exclude      []machine.RunnerID    // runners at which this request has failed
+	Left         time.Duration         // time left until the first event is late
 }
 
 // Choice is a runner for a request, with the expected times there.
 type Choice struct {
 	Runner  *machine.Runner
 	Prefill time.Duration // time to read the part of the prompt that the runner has not cached
-	Wait    time.Duration // prefill time of the requests queued there before this one
+	Wait    time.Duration // prefill time of the requests queued there that go before this one
+	Timely  bool          // the first event is expected in time
 }
 
 // Parameters of the choice of a runner. A cost is an expected delay, or the delay that is accepted to avoid something.
 const (
 	// prefillTokensPerMs is the number of prompt tokens that an engine reads in a millisecond.
 	prefillTokensPerMs = 19.2
+	// FirstTokenTime is the time that a model engine takes from the end of the prefill to the first event.
+	FirstTokenTime = 100 * time.Millisecond
 	// runningCost is the delay that each running request adds to the first event of the next one.
 	runningCost = 300 * time.Microsecond
 	// crossZoneCost is the delay accepted to keep a request in its zone, since traffic between zones is paid by the
@@ -111,7 +115,7 @@
 func (t *Table) SetPeer(peer string, loads []Load) {
 	if p := t.peers[peer]; p != nil {
 		for place, load := range p.places {
-			t.add(place, -load.Running, -load.Queued, p.below)
+			t.add(place, load.negated(), p.below)
 		}
 		delete(t.peers, peer)
 		if loads != nil {
@@ -133,11 +137,15 @@
 	for _, load := range loads {
 		place := machine.Place{Runner: load.Runner, Artifact: load.Artifact}
 		before := p.places[place]
-		running, queued := load.Running-before.Running, load.Queued-before.Queued
-		t.add(place, running, queued, p.below)
+		change := Load{
+			Running: load.Running - before.Running, Queued: load.Queued - before.Queued,
+			Timely: load.Timely - before.Timely,
+		}
+		t.add(place, change, p.below)
 		sum := p.runners[load.Runner]
 		p.runners[load.Runner] = Load{
-			Runner: load.Runner, Running: sum.Running + running, Queued: sum.Queued + queued,
+			Runner: load.Runner, Running: sum.Running + change.Running, Queued: sum.Queued + change.Queued,
+			Timely: sum.Timely + change.Timely,
 		}
 		if load.Running == 0 {
 			delete(p.places, place)
@@ -180,11 +188,12 @@
 func (t *Table) OthersAt(peer string, id machine.RunnerID) Load {
 	load := Load{Runner: id}
 	if sum := t.totals[id]; sum != nil {
-		load.Running, load.Queued = sum.running, sum.queued
+		load.Running, load.Queued, load.Timely = sum.running, sum.queued, sum.timely
 	}
 	if p := t.peers[peer]; p != nil {
 		load.Running -= p.runners[id].Running
 		load.Queued -= p.runners[id].Queued
+		load.Timely -= p.runners[id].Timely
 	}
 	return load
 }
@@ -251,10 +260,25 @@
 	return false
 }
 
-// evaluate estimates the prefill time and the wait of a request at a runner.
+// evaluate estimates the prefill time and the wait of a request at a runner. Requests that can still be in time go before
+// those that are late in any case, so only the former count in the wait of a request that is in time behind them. While
+// more arrives than the runners can read, the newest requests are then answered in time and those that are late anyway
+// wait, instead of all being late.
 func (t *Table) evaluate(r *machine.Runner, req Requirements, hashes []uint64) Choice {
 	tokens := req.PromptTokens - t.Link(r).cache.cachedTokens(hashes, req.Prompt)
-	return Choice{Runner: r, Prefill: PrefillTime(max(0, tokens)), Wait: t.Queued(r.ID)}
+	c := Choice{Runner: r, Prefill: PrefillTime(max(0, tokens)), Wait: t.Queued(r.ID)}
+	if ahead := t.timely(r.ID); req.Artifact.Model == "" || ahead+c.Prefill+FirstTokenTime <= req.Left {
+		c.Timely, c.Wait = true, min(ahead, c.Wait)
+	}
+	return c
+}
+
+// timely returns the prefill time queued at a runner of requests that are expected to be in time.
+func (t *Table) timely(r machine.RunnerID) time.Duration {
+	if sum := t.totals[r]; sum != nil {
+		return sum.timely
+	}
+	return 0
 }
 
 // cost returns the expected delay of a request's first event at a runner, multiplied by the slowness of a slow runner,
--- a/fleet/link/table_test.go
+++ b/fleet/link/table_test.go
@@ -87,12 +87,12 @@
 			switch event := rapid.IntRange(0, 9).Draw(t, "event"); {
 			case event < 4:
 				prefill := time.Duration(rapid.IntRange(0, 50).Draw(t, "prefill")) * time.Millisecond
-				table.Link(r).Sent(a, prefill)
+				table.Link(r).Sent(a, prefill, true)
 				o.own[id][a] = append(requests, ownRequest{prefill: prefill})
 			case event < 7 && len(requests) > 0:
 				q := requests[0]
 				if !q.started {
-					table.Link(r).Started(a, q.prefill, 0, 0)
+					table.Link(r).Started(a, q.prefill, true, 0, 0)
 				}
 				table.Link(r).Finished(a)
 				o.own[id][a] = requests[1:]
--- a/node/entry/admission.go
+++ b/node/entry/admission.go
@@ -24,8 +24,6 @@
 	minAttemptTime = 15 * time.Millisecond
 	// maxSends limits the attempts of one call, including those that the runner did not execute.
 	maxSends = 4
-	// firstTokenTime is the time that a model engine takes from the end of the prefill to the first event.
-	firstTokenTime = 100 * time.Millisecond
 	// streamSilenceTimeout is the time without an event after which a resumable stream is continued on another runner.
 	// It must leave time for that, since callers give up after 3 s without an event.
 	streamSilenceTimeout = 1200 * time.Millisecond
@@ -137,7 +135,7 @@
 	d := machine.DemandReport{
 		Artifact: c.artifact, Arrivals: 1, Work: link.PrefillTime(c.request.PromptTokens),
 	}
-	if known && c.admitted.Route.Objective < model.LoadDisk+firstTokenTime+urgencyMargin {
+	if known && c.admitted.Route.Objective < model.LoadDisk+link.FirstTokenTime+urgencyMargin {
 		d.Urgent = 1
 	}
 	r.demand.Arrived(d)
@@ -165,9 +163,13 @@
 	}
 	requirements := link.Requirements{
 		Artifact: c.artifact, PromptTokens: c.request.PromptTokens, Prompt: c.request.Prompt, From: r.zone,
-		Exclude: c.exclude,
+		Exclude: c.exclude, Left: c.timeToObjective(now),
 	}
 	choice, ok := r.table.Pick(r.fleet, requirements, now)
+	if ok && !choice.Timely && choice.Wait+choice.Prefill > c.deadline.Sub(now) {
+		r.refuseQueued(c, choice.Wait, now)
+		return
+	}
 	if ok {
 		r.send(c, choice, now)
 		return
@@ -183,6 +185,44 @@
 	r.waitForReplica(c, now)
 }
 
+// timeToObjective returns the time left until the first event of a call is late. A stream that has begun is late when the
+// pause between its events is too long.
+func (c *call) timeToObjective(now clock.Instant) time.Duration {
+	if c.streaming {
+		return c.admitted.Route.MaxGap
+	}
+	return c.request.Arrived.Add(c.admitted.Route.Objective).Sub(now)
+}
+
+// refuseQueued refuses a call that can't be answered before its deadline, because more requests than that are queued at
+// each runner with the model. The caller may return when half of the queue is gone, at a random instant after that, so
+// that the callers refused now don't return together.
+func (r *routing) refuseQueued(c *call, queued time.Duration, now clock.Instant) {
+	if c.runs > 0 {
+		r.refuse(c, contract.Failed(contract.Overloaded, "the queue is longer than the time left"), now)
+		return
+	}
+	retryAfter := queued/2 + time.Duration(r.rand.Int64N(int64(queued/2)+1))
+	r.refuse(c, contract.Refuse(contract.Overloaded, retryAfter, "the queue is longer than the time left"), now)
+}
+
+// priority returns the rank that a call's attempt has at a runner, 0 being the first. An organisation's priority goes
+// before that of the route. Calls that are late in any case come after all others.
+func (c *call) priority(timely bool) int {
+	rank := c.admitted.Route.Priority
+	if o := c.admitted.Organisation; o != nil && o.Priority != nil {
+		rank = *o.Priority
+	}
+	rank = min(max(0, rank), lowestTimelyRank)
+	if !timely {
+		rank += lowestTimelyRank + 1
+	}
+	return rank
+}
+
+// lowestTimelyRank is the last rank of calls that can be in time. Runners know ten ranks.
+const lowestTimelyRank = 4
+
 // send starts an attempt on the chosen runner.
 func (r *routing) send(c *call, choice link.Choice, now clock.Instant) {
 	r.stopWaiting(c)
@@ -191,7 +231,8 @@
 	route := c.admitted.Route
 	a := attempt{
 		runner: runner.ID, boot: runner.Boot, address: runner.Address, artifact: c.artifact, prefill: choice.Prefill,
-		expectedLatency: choice.Wait + choice.Prefill + firstTokenTime, deadline: c.deadline, priority: -1,
+		timely: choice.Timely, expectedLatency: choice.Wait + choice.Prefill + link.FirstTokenTime,
+		deadline: c.deadline, priority: -1,
 		resumable: route.Kind == contract.Stream && route.Resumable,
 	}
 	if c.admitted.Organisation != nil {
@@ -199,11 +240,13 @@
 	}
 	if c.artifact.Model == "" {
 		a.expectedLatency = 0
+	} else {
+		a.priority = c.priority(choice.Timely)
 	}
 	a.silenceTimeout = silenceTimeout(route, a, c.deadline.Sub(now))
-	r.table.Link(runner).Sent(c.artifact, choice.Prefill)
+	r.table.Link(runner).Sent(c.artifact, choice.Prefill, choice.Timely)
 	r.log.Info("sent", "request", c.request.ID, "route", route.Name, "runner", runner.ID, "model", c.artifact.Model,
-		"adapter", c.artifact.Adapter, "attempt", c.sends, "queued_ms", choice.Wait.Milliseconds(),
+		"adapter", c.artifact.Adapter, "attempt", c.sends, "queued_ms", choice.Wait.Milliseconds(), "timely", choice.Timely,
 		"waited_ms", now.Sub(c.request.Arrived).Milliseconds(), "manifest", r.manifest.Version)
 	r.metrics.sent.Inc()
 	c.decisions.TryPush(decision{attempt: a})
@@ -213,6 +256,8 @@
 // sent to another runner. It is zero, which means no limit, if the call may be neither resumed nor retried there.
 func silenceTimeout(route *contract.Route, a attempt, left time.Duration) time.Duration {
 	switch {
+	case a.resumable && !a.timely:
+		return left // it may wait behind all calls that can be in time
 	case a.resumable:
 		return streamSilenceTimeout + a.expectedLatency
 	case route.Kind == contract.Safe && route.MaxAttempts > 1:
--- a/node/entry/attempts.go
+++ b/node/entry/attempts.go
@@ -9,7 +9,11 @@
 // apply records the time to the first event of a stream.
 func (m attemptStarted) apply(r *routing, _ clock.Instant) {
 	if l := r.linkOf(m.attempt); l != nil {
-		l.Started(m.attempt.artifact, m.attempt.prefill, m.took, m.attempt.expectedLatency)
+		expected := m.attempt.expectedLatency
+		if !m.attempt.timely {
+			expected = 0 // how long it waits behind others says nothing of the runner
+		}
+		l.Started(m.attempt.artifact, m.attempt.prefill, m.attempt.timely, m.took, expected)
 	}
 	r.metrics.firstEvent.Observe(m.took.Seconds())
 }
@@ -30,7 +34,7 @@
 	c.streaming = c.streaming || m.streaming
 	if l := r.linkOf(m.attempt); l != nil {
 		if !m.started {
-			l.Started(m.attempt.artifact, m.attempt.prefill, 0, 0)
+			l.Started(m.attempt.artifact, m.attempt.prefill, m.attempt.timely, 0, 0)
 		}
 		l.Finished(m.attempt.artifact)
 		recordResult(l, m.result, now)
--- a/node/entry/demand.go
+++ b/node/entry/demand.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"github.com/mangopass/mangopass/fleet/link"
 	"github.com/mangopass/mangopass/fleet/machine"
 )
 
@@ -10,7 +11,7 @@
 	for _, c := range r.waiting {
 		if c.waiting {
 			waiting = append(waiting, machine.WaitingRequest{
-				Artifact: c.artifact, Due: c.request.Arrived.Add(c.admitted.Route.Objective - firstTokenTime),
+				Artifact: c.artifact, Due: c.request.Arrived.Add(c.admitted.Route.Objective - link.FirstTokenTime),
 			})
 		}
 	}
--- a/node/entry/message.go
+++ b/node/entry/message.go
@@ -50,6 +50,7 @@
 	artifact        machine.Artifact
 	organisation    contract.OrganisationName
 	prefill         time.Duration
+	timely          bool          // expected to meet the latency objective
 	expectedLatency time.Duration // time to the first event or answer
 	deadline        clock.Instant
 	priority        int
--- a/node/entry/reports_test.go
+++ b/node/entry/reports_test.go
@@ -158,7 +158,7 @@
 			l := a.table.Link(a.fleet.Get("e1"))
 			switch event := rapid.IntRange(0, 5).Draw(t, "event"); {
 			case event < 2:
-				l.Sent(machine.Artifact{Service: "e", Model: m}, time.Millisecond)
+				l.Sent(machine.Artifact{Service: "e", Model: m}, time.Millisecond, true)
 				running[m]++
 			case event < 4 && running[m] > 0:
 				l.Finished(machine.Artifact{Service: "e", Model: m})
--- a/node/entry/tree_test.go
+++ b/node/entry/tree_test.go
@@ -88,7 +88,7 @@
 func (c *cluster) send(vm string, runner machine.RunnerID, running int) {
 	l := c.vms[vm].table.Link(c.vms[vm].fleet.Get(runner))
 	for range running {
-		l.Sent(machine.Artifact{Service: "e", Model: "m"}, time.Millisecond)
+		l.Sent(machine.Artifact{Service: "e", Model: "m"}, time.Millisecond, true)
 	}
 }
 
--- /dev/null
+++ b/node/entry/urgency_test.go
@@ -0,0 +1,79 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/mangopass/mangopass/fleet/contract"
+	"github.com/mangopass/mangopass/fleet/machine"
+)
+
+// queueAt makes the only engine read prompts for the given time before the next request.
+func (h *harness) queueAt(runner machine.RunnerID, d time.Duration) {
+	h.table.Link(h.fleet.Get(runner)).Sent(machine.Artifact{Service: "e", Model: "m"}, d, true)
+}
+
+// TestRankOfAttempts guards against calls of a low priority, or late ones, that hold up those of a higher one at a runner.
+// The organisation's priority goes before that of the route; a call that is late in any case comes after all others.
+func TestRankOfAttempts(t *testing.T) {
+	one, eight := 1, 8
+	for name, test := range map[string]struct {
+		organisation *int
+		queued       time.Duration
+		want         int
+	}{
+		"of the route": {nil, 0, 3}, "of the organisation": {&one, 0, 1}, "beyond the last rank": {&eight, 0, 4},
+		"late": {nil, time.Second, 8}, "late, of the organisation": {&one, time.Second, 6},
+	} {
+		h := newHarness()
+		h.setUp()
+		h.announceEngine("e1", machine.ReportedModel{Model: "m"})
+		h.queueAt("e1", test.queued)
+		h.organisation("coop").Priority = test.organisation
+		h.manifest.Route("h", "/chat/").Priority = 3
+		_, d := h.admitChat()
+		if d == nil || d.refusal != nil || d.attempt.priority != test.want || d.attempt.timely != (test.queued == 0) {
+			t.Errorf("%s: decision %+v, want an attempt of rank %d", name, d, test.want)
+		}
+	}
+}
+
+// TestFullQueueIsRefusedAtOnce guards against holding a call that can't be answered before its deadline. It has not run,
+// so the caller is told when to return, not before half of the queue is gone and not always at the same time, and the
+// quota gets the cost back.
+func TestFullQueueIsRefusedAtOnce(t *testing.T) {
+	h := newHarness()
+	h.setUp()
+	h.announceEngine("e1", machine.ReportedModel{Model: "m"})
+	h.queueAt("e1", 12*time.Second) // the route's time limit is ten seconds
+	quota := h.quota(h.organisation("coop"), h.now)
+	before := quota.Level(h.now)
+	delays := map[time.Duration]bool{}
+	for range 5 {
+		_, d := h.admitChat()
+		wantRefusal(t, d, contract.Overloaded, false)
+		if after := d.refusal.RetryAfter; after < 6*time.Second || after > 12*time.Second {
+			t.Errorf("retry after %v with a queue of 12 s", after)
+		}
+		delays[d.refusal.RetryAfter] = true
+	}
+	if len(delays) < 3 {
+		t.Errorf("five callers are told to return at %d different times", len(delays))
+	}
+	if quota.Level(h.now) != before {
+		t.Errorf("level %v after refusals, want %v", quota.Level(h.now), before)
+	}
+}
+
+// TestCutOffAnswerIsNotRefusedAsUnrun guards against a refusal that wrongly says that a request has not run, because the
+// queue is too long when a broken attempt is to be repeated.
+func TestCutOffAnswerIsNotRefusedAsUnrun(t *testing.T) {
+	h := newHarness()
+	h.setUp()
+	h.announceEngine("e1", machine.ReportedModel{Model: "m"})
+	h.announceEngine("e2", machine.ReportedModel{Model: "m"})
+	c, d := h.admitChat()
+	h.queueAt("e1", 12*time.Second)
+	h.queueAt("e2", 12*time.Second)
+	wantRefusal(t, h.endAttempt(c, d.attempt, resultBroken), contract.Overloaded, true)
+}
