Mend five of the faults noticed in the code

Change: Accept goes on after errors other than the listener's end; both front ends count their requests and ask for the end of the connection; counts expire every ten seconds; entries with an older boot are ignored; one function drops a lease, logs it and ends the terms.

The lease has no test of its own yet.

--- a/duty/accept.go
+++ b/duty/accept.go
@@ -2,12 +2,18 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
+	"time"
 )
 
-// Accept serves each connection of the listener on its own goroutine until the context ends or the listener fails. The
-// end of the context closes the listener. Accept then closes all connections and waits for their handlers.
+// acceptRetryDelay is the pause after a failure to accept a connection, for example for want of file descriptors.
+const acceptRetryDelay = 50 * time.Millisecond
+
+// Accept serves each connection of the listener on its own goroutine until the context ends or the listener is closed.
+// The end of the context closes the listener. Accept then closes all connections and waits for their handlers. Other
+// failures to accept a connection leave the open ones alone.
 func Accept(ctx context.Context, l net.Listener, serve func(net.Conn)) {
 	var open connections
 	stop := context.AfterFunc(ctx, func() {
@@ -18,6 +24,9 @@
 	for {
 		conn, err := l.Accept()
 		if err != nil {
+			if !errors.Is(err, net.ErrClosed) && Pause(ctx, acceptRetryDelay) {
+				continue
+			}
 			open.closeAll()
 			open.wait.Wait()
 			return
--- a/fleet/link/crashes.go
+++ b/fleet/link/crashes.go
@@ -47,6 +47,9 @@
 	return c != nil && c.runs >= crashLimit && now.Sub(c.lastAt) <= crashWindow
 }
 
+// Len returns the number of requests with a count.
+func (t *CrashTracker) Len() int { return len(t.counts) }
+
 // Expire deletes the counts of requests without a broken run in the last crashWindow.
 func (t *CrashTracker) Expire(now clock.Instant) {
 	for digest, c := range t.counts {
--- a/node/entry/api.go
+++ b/node/entry/api.go
@@ -44,6 +44,7 @@
 	endpoints := calls.NewEndpoints(&api{c})
 	callsserver.Mount(mux, callsserver.New(endpoints, mux, goahttp.RequestDecoder, encodeJSON, nil, formatError))
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer c.begin(w)()
 		req := &apiRequest{ResponseWriter: w, httpRequest: r}
 		req.id = uuid.NewString()
 		if key, ok := strings.CutPrefix(r.Header.Get("Authorization"), bearerPrefix); ok {
--- a/node/entry/callers.go
+++ b/node/entry/callers.go
@@ -30,11 +30,7 @@
 
 // ServeHTTP implements http.Handler.
 func (h *callHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	h.openRequests.Add(1)
-	defer h.openRequests.Add(-1)
-	if h.draining.Load() {
-		w.Header().Set("Connection", "close")
-	}
+	defer h.begin(w)()
 	call, refusal := platform.DecodeCall(r, h.bodyLimit.Load(), clock.Now())
 	if refusal != nil {
 		platform.WriteRefusal(w, "", refusal)
@@ -47,6 +43,16 @@
 	x.serve()
 }
 
+// begin counts an open request of either front end until the returned function is called. In a planned stop, the
+// caller's connection is closed after the answer.
+func (h *callHandler) begin(w http.ResponseWriter) (end func()) {
+	h.openRequests.Add(1)
+	if h.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	return func() { h.openRequests.Add(-1) }
+}
+
 func newCall(ctx context.Context, request *contract.Request) *call {
 	return &call{ctx: ctx, request: request, decisions: ring.New[decision]("decision", 1)}
 }
--- a/node/entry/lease.go
+++ b/node/entry/lease.go
@@ -72,9 +72,7 @@
 		case platform.Applied:
 			l.reportRenewal(ctx, sent.Add(ttl))
 		case platform.NotFound:
-			l.leaseID = 0
-			l.log.Warn("lease lost")
-			_ = l.routing.Push(ctx, leaseLost{})
+			l.dropLease(ctx)
 		default:
 			l.logFailure("renew", outcome, err)
 		}
@@ -84,6 +82,13 @@
 	}
 }
 
+// dropLease gives up a lease that the store no longer has, and the terms under it.
+func (l *leaseKeeper) dropLease(ctx context.Context) {
+	l.leaseID = 0
+	l.log.Warn("lease lost")
+	_ = l.routing.Push(ctx, leaseLost{}) // fails only when the process stops
+}
+
 func (l *leaseKeeper) reportRenewal(ctx context.Context, until clock.Instant) {
 	_ = l.routing.Push(ctx, leaseRenewed{until: until})
 }
@@ -96,7 +101,7 @@
 	case platform.Applied:
 		l.entryWritten = true
 	case platform.NotFound:
-		l.leaseID = 0
+		l.dropLease(ctx)
 	default:
 		l.logFailure("list", outcome, err)
 	}
--- a/node/entry/members.go
+++ b/node/entry/members.go
@@ -202,8 +202,8 @@
 		r.log.Warn("node entry rejected", "peer", name, "error", err.Error())
 		return
 	}
-	if p != nil && p.nodeEntry == e {
-		p.registered = true
+	if p != nil && (p.nodeEntry == e || e.Boot < p.Boot) {
+		p.registered = p.nodeEntry == e // an older entry is that of a former process
 		return
 	}
 	r.addPeer(name, e, now).registered = true
--- a/node/entry/reports_test.go
+++ b/node/entry/reports_test.go
@@ -123,6 +123,12 @@
 	if p := h.members.peers["n2"]; p.Boot != 9 || p.Address != "10.0.0.9:7600" || p.sequence != 1 {
 		t.Errorf("peer %+v, want the process with boot 9", p.nodeEntry)
 	}
+	h.apply(storeChanged{sent: h.now, ownKeys: []ownKeyChange{{
+		key: prefixNodes + "n2", value: marshal(nodeEntry{Address: "10.0.0.2:7600", Zone: "y", Boot: 5}), revision: 4,
+	}}})
+	if p := h.members.peers["n2"]; p.Boot != 9 || p.registered {
+		t.Errorf("peer %+v after the late entry of the former process, want the process with boot 9", p.nodeEntry)
+	}
 	h.apply(peerReported{report: link.Report{Node: "n1", Address: "10.0.0.1:7600", Boot: 9, Sequence: 1}})
 	if len(h.members.peers) != 1 {
 		t.Error("the VM added itself as a peer")
--- a/node/entry/routing.go
+++ b/node/entry/routing.go
@@ -24,6 +24,8 @@
 	minTickPeriod = 6 * time.Millisecond
 	// intakeCapacity is the number of messages that can wait for the routing duty.
 	intakeCapacity = 4096
+	// crashExpiryPeriod is the time between two removals of counts of broken runs that no longer matter.
+	crashExpiryPeriod = 10 * time.Second
 	// maxBatch is the largest number of messages taken from the ring at once.
 	maxBatch = 64
 )
@@ -47,19 +49,20 @@
 	stopping      bool
 	stopWaitUntil clock.Instant // in a planned stop: from then on no call waits for a replica
 
-	manifest      *contract.Manifest
-	freshness     link.Freshness
-	changes       *link.ChangeLog      // of the store, as far as the VMs below need them
-	feeds         *ring.Ring[storeFed] // to the watch
-	storeOutage   bool                 // as in the last change of the store
-	runnersListed bool                 // the list of runners has been read
-	fleet         *machine.Fleet
-	table         *link.Table
-	quotas        map[contract.OrganisationName]*contract.Quota
-	retryBudgets  map[contract.ServiceName]*link.RetryBudget
-	crashes       *link.CrashTracker
-	waiting       []*call
-	demand        *machine.DemandBook
+	manifest         *contract.Manifest
+	freshness        link.Freshness
+	changes          *link.ChangeLog      // of the store, as far as the VMs below need them
+	feeds            *ring.Ring[storeFed] // to the watch
+	storeOutage      bool                 // as in the last change of the store
+	runnersListed    bool                 // the list of runners has been read
+	fleet            *machine.Fleet
+	table            *link.Table
+	quotas           map[contract.OrganisationName]*contract.Quota
+	retryBudgets     map[contract.ServiceName]*link.RetryBudget
+	crashes          *link.CrashTracker
+	crashesExpiredAt clock.Instant
+	waiting          []*call
+	demand           *machine.DemandBook
 
 	members members
 	leader  leader
@@ -123,6 +126,10 @@
 	r.checkTerms(now)
 	r.schedule(now)
 	r.sendReports(now)
+	if now.Sub(r.crashesExpiredAt) > crashExpiryPeriod {
+		r.crashesExpiredAt = now
+		r.crashes.Expire(now)
+	}
 	r.updateGauges(now)
 	r.ready.Store(r.isReady(now))
 }
