--- a/node/entry/reports_test.go
+++ b/node/entry/reports_test.go
@@ -204,6 +204,25 @@
 	}
 }
 
+// TestCrashCountsExpire guards against memory that grows with each broken run as long as the process lives.
+func TestCrashCountsExpire(t *testing.T) {
+	h := newHarness()
+	h.setUp()
+	for digest := range uint64(100) {
+		h.countCrash(digest, "", h.now)
+	}
+	if h.crashes.Len() != 100 {
+		t.Fatalf("%d counts, want 100", h.crashes.Len())
+	}
+	for range 12 {
+		h.now = h.now.Add(crashExpiryPeriod)
+		h.onTick(h.now)
+	}
+	if n := h.crashes.Len(); n != 0 {
+		t.Errorf("%d counts of broken runs two minutes ago", n)
+	}
+}
+
 // TestReportRateBounded guards against overload by reports in large deployments: what one VM sends in a second must not
 // grow with their number, whether it relays for 99 others in its zone or is one of the others.
 func TestReportRateBounded(t *testing.T) {
--- a/node/entry/routing_test.go
+++ b/node/entry/routing_test.go
@@ -406,22 +406,3 @@
 		t.Errorf("leadership %+v, want fence 9 and orders allowed at once", leadership)
 	}
 }
-
-// TestCrashCountsExpire guards against memory that grows with each broken run as long as the process lives.
-func TestCrashCountsExpire(t *testing.T) {
-	h := newHarness()
-	h.setUp()
-	for digest := range uint64(100) {
-		h.countCrash(digest, "", h.now)
-	}
-	if h.crashes.Len() != 100 {
-		t.Fatalf("%d counts, want 100", h.crashes.Len())
-	}
-	for range 12 {
-		h.now = h.now.Add(crashExpiryPeriod)
-		h.onTick(h.now)
-	}
-	if n := h.crashes.Len(); n != 0 {
-		t.Errorf("%d counts of broken runs two minutes ago", n)
-	}
-}
