Never cut a stream within the pauses of its route; keep ejections at their length

Cause: a resumable stream was given up after 1.2 s without an event whatever pauses its route allows, so one that allows pauses of 2 s would be cut while sound. A failed connection shortened the ejection of a runner that fails requests (noticed in the code).

Change: the silence limit is at least one and a half of the route's longest pause; an ejection is never shortened.

Tests: TestSlowStreamIsNotCut (routes with pauses of up to 2 s), TestFailingRunnerIsEjected.

--- a/fleet/link/link.go
+++ b/fleet/link/link.go
@@ -133,9 +133,9 @@
 	}
 }
 
-// Unreachable ejects the runner for a short time after a failed connection.
+// Unreachable ejects the runner for a short time after a failed connection. It does not shorten an ejection.
 func (l *RunnerLink) Unreachable(now clock.Instant) {
-	l.ejectedUntil = now.Add(unreachableEjectionTime)
+	l.ejectedUntil = max(l.ejectedUntil, now.Add(unreachableEjectionTime))
 }
 
 // Ejected reports whether the runner should get requests only if no other can take them.
--- a/fleet/link/link_test.go
+++ b/fleet/link/link_test.go
@@ -156,6 +156,10 @@
 	if c, _ := table.Pick(f, req, start); c.Runner.ID != "far" {
 		t.Error("an ejected runner is chosen")
 	}
+	l.Unreachable(start)
+	if c, _ := table.Pick(f, req, start.Add(unreachableEjectionTime)); c.Runner.ID != "far" {
+		t.Error("a failed connection shortens the ejection")
+	}
 	if c, _ := table.Pick(f, req, start.Add(ejectionTime)); c.Runner.ID != "near" {
 		t.Error("the runner is not chosen after ejectionTime")
 	}
--- a/node/entry/admission.go
+++ b/node/entry/admission.go
@@ -24,9 +24,11 @@
 	minAttemptTime = 15 * time.Millisecond
 	// maxSends limits the attempts of one call, including those that the runner did not execute.
 	maxSends = 4
-	// streamSilenceTimeout is the time without an event after which a resumable stream is continued on another runner.
-	// It must leave time for that, since callers give up after 3 s without an event.
+	// streamSilenceTimeout is the time without an event after which a resumable stream is continued on another runner,
+	// unless its route allows pauses of more than 1/silenceGaps of that. It must leave time to go on, since callers give
+	// up after 3 s without an event, or eight of the pauses that the route allows.
 	streamSilenceTimeout = 1200 * time.Millisecond
+	silenceGaps          = 1.5
 	// quotaBurstSlackShare and quotaRateSlackShare split the quota slack from the settings: the first share is added to
 	// the burst, the second is spread over the quota window and added to the rate. The rest covers what several entry
 	// VMs admit before their usage reports reach each other.
@@ -259,7 +261,7 @@
 	case a.resumable && !a.timely:
 		return left // it may wait behind all calls that can be in time
 	case a.resumable:
-		return streamSilenceTimeout + a.expectedLatency
+		return max(streamSilenceTimeout, time.Duration(silenceGaps*float64(route.MaxGap))) + a.expectedLatency
 	case route.Kind == contract.Safe && route.MaxAttempts > 1:
 		return left / 3
 	}
--- a/node/entry/urgency_test.go
+++ b/node/entry/urgency_test.go
@@ -77,3 +77,21 @@
 	h.queueAt("e2", 12*time.Second)
 	wantRefusal(t, h.endAttempt(c, d.attempt, resultBroken), contract.Overloaded, true)
 }
+
+// TestSlowStreamIsNotCut guards against cutting a sound stream whose pauses its route allows, and against waiting without
+// end for one that stalls.
+func TestSlowStreamIsNotCut(t *testing.T) {
+	for _, gap := range []time.Duration{0, 400 * time.Millisecond, 800 * time.Millisecond, 2 * time.Second} {
+		h := newHarness()
+		h.setUp()
+		h.announceEngine("e1", machine.ReportedModel{Model: "m"})
+		h.manifest.Route("h", "/chat/").MaxGap = gap
+		_, d := h.admitChat()
+		if d == nil || d.refusal != nil {
+			t.Fatalf("decision %+v, want an attempt", d)
+		}
+		if got := d.attempt.silenceTimeout; got <= gap || got > 8*max(gap, 375*time.Millisecond) {
+			t.Errorf("the stream is given up after %v without an event, pauses of %v are allowed", got, gap)
+		}
+	}
+}
