Name the roles in the tree of reports by the usual terms

Cause: the roles had figurative names (twin, stranger), two counters were not read, and a case without a body hid why changes are dropped before a complete report. No behaviour changed; the tests of fleet and node pass.

--- a/fleet/link/report.go
+++ b/fleet/link/report.go
@@ -8,19 +8,19 @@
 	"github.com/mangopass/mangopass/fleet/zone"
 )
 
-// Role is how the sender of a report sees the receiver.
+// Role is how the sender of a report sees the receiver in the tree of reports.
 type Role int
 
 // The roles of the receiver of a report.
 const (
-	Stranger Role = iota // not a neighbour in the tree; the report only carries load requests
-	Relay                // passes on what the sender reports to the other VMs
-	Child                // the sender relays for the receiver
-	Twin                 // relay of another zone, as the sender is of its own
+	Unrelated Role = iota // no neighbour of the sender; the report only carries load requests
+	Parent                // the relay of the sender's zone, which passes its reports on to the other VMs
+	Child                 // the sender relays for the receiver
+	MeshPeer              // the relay of another zone, as the sender is of its own
 )
 
 // String returns the role's name for logs.
-func (r Role) String() string { return [...]string{"stranger", "relay", "child", "twin"}[r] }
+func (r Role) String() string { return [...]string{"unrelated", "parent", "child", "mesh_peer"}[r] }
 
 // Report is the message that an entry VM sends to its neighbours in the tree of reports many times a second. It states
 // what the receiver cannot know from its other neighbours.
--- a/node/entry/admission.go
+++ b/node/entry/admission.go
@@ -101,7 +101,7 @@
 		q = contract.NewQuota(o.Limit, r.quotaSlack(), quotaInitialFill, now)
 		q.SetShare(r.members.heardShare(now), now)
 		for name, p := range r.members.peers {
-			if p.role != link.Stranger {
+			if p.role != link.Unrelated {
 				r.connectQuota(q, name, p, now)
 			}
 		}
--- a/node/entry/members.go
+++ b/node/entry/members.go
@@ -81,8 +81,6 @@
 	relays     zone.Relays
 	relay      string // name of the VM that relays for this one, or this VM's own
 	planner    string // name of the VM that decides on placement
-	below      int    // number of VMs for which this one relays
-	above      int    // number of relays to which this VM reports
 	fanOut     int    // the largest number of neighbours that a relay can have
 
 	listBelow []string // names of this VM and those below it
@@ -129,7 +127,7 @@
 		switch p.role {
 		case link.Child:
 			below, all = append(below, name), append(all, name)
-		case link.Twin, link.Relay:
+		case link.MeshPeer, link.Parent:
 			all = append(all, p.members...)
 		}
 	}
@@ -228,7 +226,7 @@
 		return
 	}
 	p.stopLink()
-	r.setRole(name, p, link.Stranger, now)
+	r.setRole(name, p, link.Unrelated, now)
 	delete(r.members.peers, name)
 	r.log.Info("peer gone", "peer", name, "silent_ms", now.Sub(p.heardAt).Milliseconds(), "peers", len(r.members.peers))
 }
--- a/node/entry/reports.go
+++ b/node/entry/reports.go
@@ -57,7 +57,7 @@
 // noteChanges adds changed loads to those that are to be reported to the peer.
 func (p *peer) noteChanges(c link.Changes) {
 	switch p.role {
-	case link.Relay, link.Twin:
+	case link.Parent, link.MeshPeer:
 		p.changed.Below = append(p.changed.Below, c.Below...)
 	case link.Child:
 		p.changed.Runners = append(p.changed.Runners, c.Runners...)
@@ -71,13 +71,13 @@
 func (r *routing) reportPeriod(p *peer) time.Duration {
 	m := &r.members
 	factor := m.periodFactor()
-	if p.role == link.Relay {
+	if p.role == link.Parent {
 		factor = 1 // a VM below a relay has only that neighbour
 	}
 	switch {
 	case p.urgent:
 		return urgentPeriod
-	case p.role == link.Stranger:
+	case p.role == link.Unrelated:
 		return never
 	case p.knownVersion < r.leader.scheduler.VersionFor(p.receiver("")):
 		return urgentPeriod * factor
@@ -97,7 +97,7 @@
 		Node: r.node, Address: r.address, Zone: r.zone, Boot: r.boot, Sequence: r.members.sequence, Receiver: p.role,
 		Relay: r.members.relay, Planner: r.members.planner, Stopping: r.stopping, Version: p.knownVersion,
 	}
-	if p.role != link.Stranger {
+	if p.role != link.Unrelated {
 		r.addNeighbourState(&report, name, p, now)
 	}
 	report.Wishes, p.loadRequests = p.loadRequests, nil
@@ -114,7 +114,7 @@
 	report.Whole, report.Incomplete = p.needsAll, !p.complete
 	report.Series, report.StoreRevision = p.series, r.changes.Revision()
 	switch p.role {
-	case link.Relay:
+	case link.Parent:
 		r.members.noteSent(report.Sequence, now)
 	case link.Child:
 		report.Feed = r.feedFor(p)
@@ -218,23 +218,23 @@
 		p.avoidUntil = now.Add(avoidTime) // no longer the relay of its zone
 	}
 	r.setRole(in.Node, p, r.roleOf(in.Node, p, now), now)
-	if answers(in.Receiver, p.role) {
+	if rolesMatch(in.Receiver, p.role) {
 		r.applyNeighbourState(in, p, now)
-	} else if in.Receiver == link.Twin && !r.isRelay() {
+	} else if in.Receiver == link.MeshPeer && !r.isRelay() {
 		p.urgent = true // tells the sender that this VM does not relay
 	}
 	r.applyLoadRequests(in.Wishes, now)
 }
 
-// answers reports whether two VMs see each other in matching roles.
-func answers(theirs, ours link.Role) bool {
+// rolesMatch reports whether two VMs see each other in corresponding roles.
+func rolesMatch(theirs, ours link.Role) bool {
 	switch ours {
-	case link.Relay:
+	case link.Parent:
 		return theirs == link.Child
 	case link.Child:
-		return theirs == link.Relay
-	case link.Twin:
-		return theirs == link.Twin
+		return theirs == link.Parent
+	case link.MeshPeer:
+		return theirs == link.MeshPeer
 	}
 	return false
 }
@@ -248,8 +248,7 @@
 	case in.Whole:
 		p.complete = true
 		r.table.SetPeer(in.Node, nonNil(in.Loads))
-	case !p.complete:
-	default:
+	case p.complete: // changes of what has not been stated yet would give wrong sums
 		r.table.UpdatePeer(in.Node, in.Loads)
 	}
 	r.applyMembers(p, in.Members, now)
@@ -266,7 +265,7 @@
 	r.applyLeaderState(in, p, now)
 }
 
-// nonNil returns an empty slice instead of nil.
+// nonNil returns an empty slice instead of nil: SetPeer removes the peer if there are no loads at all.
 func nonNil(loads []link.Load) []link.Load {
 	if loads == nil {
 		return []link.Load{}
@@ -295,8 +294,9 @@
 func (r *routing) countCrash(digest uint64, source string, now clock.Instant) {
 	r.crashes.Add(digest, now)
 	from := r.members.peers[source]
+	fromBelow := from == nil || from.role == link.Child
 	for name, p := range r.members.peers {
-		if name != source && (p.role == link.Child || p.role != link.Stranger && (from == nil || from.role == link.Child)) {
+		if name != source && (p.role == link.Child || p.role != link.Unrelated && fromBelow) {
 			p.unreportedCrashes = append(p.unreportedCrashes, digest)
 		}
 	}
@@ -306,7 +306,7 @@
 // counts the younger one's total from its start, and the younger one adopts the older one's level. A relay always counts
 // the totals of the VMs below it.
 func (r *routing) applyQuotaUsage(q *contract.Quota, in link.Report, usage link.QuotaUsage, now clock.Instant) {
-	if q.KnowsPeer(in.Node, in.Series) || in.Boot >= r.boot || in.Receiver == link.Relay {
+	if q.KnowsPeer(in.Node, in.Series) || in.Boot >= r.boot || in.Receiver == link.Parent {
 		q.ApplyPeerUsage(in.Node, in.Series, usage.Total, now)
 		return
 	}
--- a/node/entry/reports_test.go
+++ b/node/entry/reports_test.go
@@ -28,7 +28,7 @@
 // reportUsage applies a peer's report of what it admitted for an organisation.
 func (h *harness) reportUsage(name string, boot int64, sequence uint64, usage link.QuotaUsage) {
 	h.apply(peerReported{report: link.Report{
-		Node: name, Relay: name, Zone: "y", Receiver: link.Twin, Boot: boot, Series: boot, Sequence: sequence,
+		Node: name, Relay: name, Zone: "y", Receiver: link.MeshPeer, Boot: boot, Series: boot, Sequence: sequence,
 		Whole: true, Spent: []link.QuotaUsage{usage},
 	}})
 }
@@ -249,11 +249,11 @@
 		}
 		return n
 	}
-	few := sent(7, link.Relay)
-	if many := sent(99, link.Relay); many > 3*few || many == 0 {
+	few := sent(7, link.Parent)
+	if many := sent(99, link.Parent); many > 3*few || many == 0 {
 		t.Errorf("a relay sent %d reports to 99 VMs in ten seconds, %d to 7", many, few)
 	}
-	if many := sent(99, link.Stranger); many > 0 {
+	if many := sent(99, link.Unrelated); many > 0 {
 		t.Errorf("%d reports to VMs that report to another relay", many)
 	}
 }
--- a/node/entry/tree.go
+++ b/node/entry/tree.go
@@ -42,18 +42,12 @@
 	m.reviewedAt = now
 	m.relays = r.chooseRelays(now)
 	m.relay = m.relays[r.zone].Name
-	m.below, m.above, m.fanOut = 0, 0, m.countFanOut(r.zone)
+	m.fanOut = m.countFanOut(r.zone)
 	for name, p := range m.peers {
-		if p.role == link.Relay || p.role == link.Twin {
+		if p.role == link.Parent || p.role == link.MeshPeer {
 			r.checkRelay(p, now)
 		}
 		r.setRole(name, p, r.roleOf(name, p, now), now)
-		switch p.role {
-		case link.Child:
-			m.below++
-		case link.Relay, link.Twin:
-			m.above++
-		}
 	}
 	m.planner = r.choosePlanner(now)
 }
@@ -90,15 +84,15 @@
 	reports := p.sequence > 0 && now.Sub(p.heardAt) <= m.silenceLimit()
 	switch {
 	case name == m.relay:
-		return link.Relay
-	case reports && p.seesUsAs == link.Relay:
+		return link.Parent
+	case reports && p.seesUsAs == link.Parent:
 		return link.Child
 	case m.relay != r.node || p.Zone == r.zone:
-		return link.Stranger
-	case m.relays[p.Zone].Name == name || reports && p.seesUsAs == link.Twin:
-		return link.Twin
+		return link.Unrelated
+	case m.relays[p.Zone].Name == name || reports && p.seesUsAs == link.MeshPeer:
+		return link.MeshPeer
 	}
-	return link.Stranger
+	return link.Unrelated
 }
 
 // setRole changes a peer's role. What was known from the peer in the former role is dropped, and both sides start anew
@@ -116,13 +110,13 @@
 	p.needsAll, p.complete, p.failures = true, false, 0
 	clear(p.reportedUsage)
 	p.membersSent, p.fedRevision, p.feedSent = 0, 0, 0
-	if role == link.Stranger {
+	if role == link.Unrelated {
 		r.table.SetPeer(name, nil)
 	} else {
 		r.table.Place(name, role == link.Child)
 	}
 	for _, q := range r.quotas {
-		if role == link.Stranger {
+		if role == link.Unrelated {
 			q.Disconnect(name)
 		} else {
 			r.connectQuota(q, name, p, now)
@@ -153,7 +147,7 @@
 	}
 	best := zone.Member{Name: r.node, Zone: r.zone, Boot: r.boot}
 	for name, p := range m.peers {
-		if p.role != link.Twin || p.stopping || p.sequence == 0 || now.Sub(p.heardAt) > m.silenceLimit() {
+		if p.role != link.MeshPeer || p.stopping || p.sequence == 0 || now.Sub(p.heardAt) > m.silenceLimit() {
 			continue
 		}
 		if candidate := (zone.Member{Name: name, Zone: p.Zone, Boot: p.Boot}); candidate.Before(best) {
--- a/node/entry/tree_test.go
+++ b/node/entry/tree_test.go
@@ -119,7 +119,7 @@
 		o.Limit = contract.Limit{PerSecond: 1e-6, Burst: burst, InTokens: true}
 		q := contract.NewQuota(o.Limit, contract.QuotaSlack{}, 0.5, h.now)
 		for name, p := range h.members.peers {
-			if p.role != link.Stranger {
+			if p.role != link.Unrelated {
 				h.connectQuota(q, name, p, h.now)
 				clear(p.reportedUsage)
 			}
@@ -251,15 +251,15 @@
 	h.setUp()
 	h.addPeerEntry("n2", 5)
 	h.addPeerEntry("n3", 6)
-	if role := h.members.peers["n2"].role; role != link.Twin {
+	if role := h.members.peers["n2"].role; role != link.MeshPeer {
 		t.Fatalf("the relay of the other zone is a %s", role)
 	}
 	h.apply(peerReported{report: link.Report{
-		Node: "n2", Zone: "y", Boot: 5, Sequence: 1, Relay: "n3", Receiver: link.Stranger,
+		Node: "n2", Zone: "y", Boot: 5, Sequence: 1, Relay: "n3", Receiver: link.Unrelated,
 	}})
 	h.now = h.now.Add(treePeriod)
 	h.reviewTree(h.now)
-	if got := h.members.peers["n3"].role; got != link.Twin {
-		t.Errorf("n3 is a %s, want a twin: n2 says that n3 relays for its zone", got)
+	if got := h.members.peers["n3"].role; got != link.MeshPeer {
+		t.Errorf("n3 is a %s, want a mesh peer: n2 says that n3 relays for its zone", got)
 	}
 }
