Never report usage of a limit again after a hand-over between relays

Cause: a VM that began to relay gave the relays of the other zones all that it had admitted since it last reported to them itself, though its parent had passed most of it on. The same could happen towards a VM that was below this one and becomes its relay.

Change: a VM notes how much of the usage below it each zone, and each VM that was below it, has confirmed. What the relay of its own zone has confirmed counts as known in all zones. The total for a new neighbour starts there.

What is on its way at a hand-over may still be forgotten or count twice.

--- a/fleet/contract/quota.go
+++ b/fleet/contract/quota.go
@@ -31,7 +31,8 @@
 
 	peers     map[string]peerUsage // by name of the peer
 	outlets   map[string]outlet    // neighbours that get a running total, by name
-	delivered map[string]float64   // part of below that the relay of a zone has confirmed, by zone
+	delivered map[string]float64   // part of below that a zone knows, by zone
+	children  map[string]float64   // part of below that a peer knows which has been below this VM, by name
 }
 
 // peerUsage is what a peer has reported. series identifies the running total, which starts anew with the peer's
@@ -47,6 +48,8 @@
 	zone  string
 	below bool    // this VM relays for the neighbour
 	base  float64 // subtracted, so that the total starts with what the neighbour does not know yet
+	// offered is below at the last total that was given out.
+	offered float64
 }
 
 // NewQuota returns a quota whose bucket is filled to the share fill of its capacity, from 0 to 1. What the organisation
@@ -55,7 +58,7 @@
 func NewQuota(limit Limit, slack QuotaSlack, fill float64, now clock.Instant) *Quota {
 	q := &Quota{
 		limit: limit, slack: slack, share: 1, updatedAt: now, peers: make(map[string]peerUsage),
-		outlets: make(map[string]outlet), delivered: make(map[string]float64),
+		outlets: make(map[string]outlet), delivered: make(map[string]float64), children: make(map[string]float64),
 	}
 	q.level = fill * q.capacity()
 	return q
@@ -136,21 +139,28 @@
 	Fresh bool // its process has started lately, and takes over the level instead of earlier usage
 }
 
-// Connect starts a running total for a neighbour. A relay whose process is not fresh gets what the former relay of its
-// zone or, before there was one, that of this VM's own zone, home, has not confirmed. A VM below knows the rest from the
-// level.
+// Connect starts a running total for a neighbour. home is this VM's own zone, whose relay passes on to all zones what it
+// confirms. The total for a relay starts with what neither its zone nor home has confirmed, for a relay that was below
+// this VM before with what it has not confirmed itself; one whose process is fresh takes over the level instead, and so
+// does a VM below.
 func (q *Quota) Connect(peer string, n Neighbour, home string) {
-	o := outlet{zone: n.Zone, below: n.Below}
-	delivered, known := q.delivered[n.Zone]
+	o := outlet{zone: n.Zone, below: n.Below, offered: q.below}
+	known, wasChild := q.children[peer]
+	delete(q.children, peer)
 	switch {
 	case n.Below:
 		o.base = q.all - q.peers[peer].grown
+		q.children[peer] = q.below
 	case n.Fresh:
 		o.base = q.below
-	case known:
-		o.base = delivered
+	case wasChild:
+		o.base = known
+	case n.Zone == home:
+		for _, delivered := range q.delivered {
+			o.base = max(o.base, delivered)
+		}
 	default:
-		o.base = q.delivered[home]
+		o.base = max(q.delivered[n.Zone], q.delivered[home])
 	}
 	q.outlets[peer] = o
 }
@@ -168,10 +178,24 @@
 	return q.below - o.base
 }
 
-// Confirm records that a neighbour has received the given running total.
-func (q *Quota) Confirm(peer string, total float64) {
-	if o, ok := q.outlets[peer]; ok && !o.below {
-		q.delivered[o.zone] = o.base + total
+// Offer returns the running total to be reported to a neighbour.
+func (q *Quota) Offer(peer string) float64 {
+	if o, ok := q.outlets[peer]; ok {
+		o.offered = q.below
+		q.outlets[peer] = o
+	}
+	return q.TotalFor(peer)
+}
+
+// Confirm records that a neighbour has received the last total offered.
+func (q *Quota) Confirm(peer string) {
+	o, ok := q.outlets[peer]
+	switch {
+	case !ok:
+	case o.below:
+		q.children[peer] = o.offered
+	default:
+		q.delivered[o.zone] = max(q.delivered[o.zone], o.offered)
 	}
 }
 
--- a/fleet/contract/quota_test.go
+++ b/fleet/contract/quota_test.go
@@ -163,3 +163,43 @@
 		t.Errorf("admitted %v, want at most %v", total, bound)
 	}
 }
+
+// TestUsageIsNotReportedAgain guards against refusing an organisation's requests at all VMs after a planned stop of a relay.
+// A VM that relays again, or reports to a VM that was below it, must not report what the other side has got on another
+// way in the meantime.
+func TestUsageIsNotReportedAgain(t *testing.T) {
+	q := NewQuota(Limit{PerSecond: 1000, Burst: 100000, InTokens: true}, QuotaSlack{}, 1, second)
+	relayOf := func(zone string) Neighbour { return Neighbour{Zone: zone} }
+	use := func(peer string, cost float64) {
+		q.Take(cost, second)
+		q.Offer(peer)
+		q.Confirm(peer)
+	}
+	q.Connect("a", relayOf("x"), "home") // before the relay of this zone is known
+	use("a", 10)
+	q.Disconnect("a")
+	q.Connect("parent", relayOf("home"), "home")
+	use("parent", 5000)
+	q.Take(70, second) // not confirmed when the parent stops
+	q.Disconnect("parent")
+	q.Connect("a", relayOf("x"), "home")
+	q.Connect("b", relayOf("y"), "home")
+	if a, b := q.TotalFor("a"), q.TotalFor("b"); a != 70 || b != 70 {
+		t.Errorf("totals of %v and %v for two relays, want the 70 that the parent has not confirmed", a, b)
+	}
+	q.Connect("child", Neighbour{Zone: "home", Below: true}, "home")
+	use("a", 300)
+	q.Offer("child")
+	q.Confirm("child")
+	q.Take(7, second) // not confirmed by the child
+	q.Disconnect("child")
+	q.Connect("child", relayOf("home"), "home")
+	if got := q.TotalFor("child"); got != 7 {
+		t.Errorf("a total of %v for a VM that was below this one and knows all but 7", got)
+	}
+	q.Disconnect("child")
+	q.Connect("parent", relayOf("home"), "home")
+	if got := q.TotalFor("parent"); got != 7 {
+		t.Errorf("a total of %v for the former parent, want 7: the relays of the other zones have confirmed the rest", got)
+	}
+}
--- a/node/entry/reports.go
+++ b/node/entry/reports.go
@@ -164,7 +164,7 @@
 func (r *routing) quotaUsageFor(name string, p *peer, now clock.Instant) []link.QuotaUsage {
 	var usage []link.QuotaUsage
 	for organisation, q := range r.quotas {
-		total := q.TotalFor(name)
+		total := q.Offer(name)
 		if reported, ok := p.reportedUsage[organisation]; !p.needsAll && ok && reported == total {
 			continue
 		}
@@ -193,9 +193,9 @@
 	p.failures = 0
 	if m.role == p.role && m.series == p.series {
 		p.knownVersion, p.fedRevision = m.version, p.feedSent
-		for organisation, total := range p.reportedUsage {
+		for organisation := range p.reportedUsage {
 			if q := r.quotas[organisation]; q != nil {
-				q.Confirm(m.node, total)
+				q.Confirm(m.node)
 			}
 		}
 	}
