Log the prompt and the progress of runs that break off

Change: the ended line of a broken run lists the parts of the prompt, whether the head of the answer had arrived, and the time since then. No change of behaviour.

--- a/node/entry/attempts.go
+++ b/node/entry/attempts.go
@@ -1,6 +1,9 @@
 package entry
 
 import (
+	"strconv"
+	"strings"
+
 	"github.com/mangopass/mangopass/duty/clock"
 	"github.com/mangopass/mangopass/fleet/contract"
 	"github.com/mangopass/mangopass/fleet/link"
@@ -57,9 +60,27 @@
 	r.retry(c, m, now)
 }
 
+// logAttemptEnd logs the end of an attempt. For a run that broke off, the line also tells how far the answer had come
+// and the parts of the prompt, which show what the broken runs of several runners have in common.
 func (r *routing) logAttemptEnd(m attemptEnded) {
-	r.log.Info("ended", "request", m.call.request.ID, "runner", m.attempt.runner, "result", m.result.String(),
-		"took_ms", m.took.Milliseconds(), "begun", m.started, "final", m.final, "cause", errorText(m.cause))
+	fields := []any{
+		"request", m.call.request.ID, "runner", m.attempt.runner, "result", m.result.String(),
+		"took_ms", m.took.Milliseconds(), "begun", m.started, "final", m.final, "cause", errorText(m.cause),
+	}
+	if m.result == resultBroken {
+		fields = append(fields, "answered", m.answered, "answering_ms", m.answering.Milliseconds(),
+			"prompt", promptText(m.call.request.Prompt))
+	}
+	r.log.Info("ended", fields...)
+}
+
+// promptText returns the IDs of a prompt's parts for logs, in hexadecimal and separated by commas.
+func promptText(prompt []contract.PromptPart) string {
+	ids := make([]string, len(prompt))
+	for i, part := range prompt {
+		ids[i] = strconv.FormatUint(part.ID, 16)
+	}
+	return strings.Join(ids, ",")
 }
 
 // notExecuted reports whether it is certain that the runner has not run the request.
--- a/node/entry/callers.go
+++ b/node/entry/callers.go
@@ -149,11 +149,14 @@
 	})
 	if err == nil {
 		defer answer.Close()
+		end.answered = true
+		answeredAt := clock.Now()
 		if answer.IsStream() {
 			err = x.forwardStream(answer, a, &end, begin, silence)
 		} else {
 			err = x.forwardBody(answer, &end)
 		}
+		end.answering = clock.Now().Sub(answeredAt)
 	}
 	end.took, end.cause = clock.Now().Sub(begin), err
 	if end.result == resultServed && err != nil {
--- a/node/entry/message.go
+++ b/node/entry/message.go
@@ -96,8 +96,10 @@
 	result    result
 	cause     error
 	took      time.Duration
-	started   bool // the first event has arrived; attemptStarted was pushed unless the ring was full
-	streaming bool // events have been sent to the caller
+	answered  bool          // the head of the answer has arrived
+	answering time.Duration // time since then
+	started   bool          // the first event has arrived; attemptStarted was pushed unless the ring was full
+	streaming bool          // events have been sent to the caller
 	final     bool
 }
 
