--- a/standin/runner/http.go
+++ b/standin/runner/http.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/mangopass/mangopass/duty"
@@ -95,6 +96,10 @@
 		return
 	}
 	defer r.finishRun(req.Context(), index)
+	ctx, cancel := context.WithCancel(req.Context())
+	defer cancel()
+	defer context.AfterFunc(faults.life, cancel)()
+	req = req.WithContext(ctx)
 	switch {
 	case faults.Reset > 0:
 		panic(http.ErrAbortHandler)
@@ -106,34 +111,51 @@
 	w.Header().Set("X-Mangopass-Request-Id", id)
 	w.Header().Set("X-Mangopass-Response-Seal", "seal."+r.ID+"."+id)
 	if r.Engine {
+		if faults.CrashPart != "" && strings.Contains(req.Header.Get(headerPrompt), faults.CrashPart+":") {
+			w.Header().Set("Content-Type", "text/event-stream")
+			_ = http.NewResponseController(w).Flush()
+			r.crash()
+		}
 		r.stream(w, req, faults.BreakAfter)
+		if faults.life.Err() != nil {
+			panic(http.ErrAbortHandler)
+		}
 		return
 	}
 	duty.Pause(req.Context(), r.TokenTime)
 	_, _ = fmt.Fprintf(w, "%s answers %s\n", r.ID, id)
 }
 
+// headerPrompt lists the parts of a request's prompt, each as ID:TOKENS.
+const headerPrompt = "X-Mangopass-Prompt-Prefix"
+
+// runFaults are the faults that apply to one run.
+type runFaults struct {
+	Faults
+	life context.Context // ends when the runner crashes
+}
+
 // admit decides whether a request runs. It returns the faults to apply to the request and the index of its Run in the
 // record, or the status of the refusal; the status of an admitted request is zero.
-func (r *Runner) admit(req *http.Request, body string) (Faults, int, int) {
+func (r *Runner) admit(req *http.Request, body string) (runFaults, int, int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.finishLoad(time.Now())
 	h := req.Header
 	model := h.Get("X-Mangopass-Model")
 	if r.Engine && !r.canServe(model) {
-		return Faults{}, 0, http.StatusMisdirectedRequest
+		return runFaults{}, 0, http.StatusMisdirectedRequest
 	}
 	if r.running >= r.Slots || r.faults.Shed > 0 {
 		r.faults.Shed = max(0, r.faults.Shed-1)
-		return Faults{}, 0, http.StatusServiceUnavailable
+		return runFaults{}, 0, http.StatusServiceUnavailable
 	}
 	r.running++
 	r.record.Runs = append(r.record.Runs, Run{
 		Request: h.Get("X-Mangopass-Request-Id"), Tenant: h.Get("X-Mangopass-Tenant"), Model: model,
-		LastEvent: h.Get("Last-Event-Id"), Key: h.Get("Api-Key"), Body: body, At: time.Now(),
+		Prompt: h.Get(headerPrompt), LastEvent: h.Get("Last-Event-Id"), Key: h.Get("Api-Key"), Body: body, At: time.Now(),
 	})
-	faults := r.faults
+	faults := runFaults{r.faults, r.life}
 	r.faults.Reset = max(0, r.faults.Reset-1)
 	r.faults.Hang = max(0, r.faults.Hang-1)
 	r.faults.BreakAfter = 0
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -4,6 +4,7 @@
 package runner
 
 import (
+	"context"
 	"slices"
 	"strings"
 	"sync"
@@ -36,6 +37,10 @@
 	Hang       int  `json:"hang"`        // requests that run and are never answered
 	Draining   bool `json:"draining"`    // the runner's entry in the store has the state draining
 	LateOrders int  `json:"late_orders"` // orders that are carried out a second late and not answered
+
+	// CrashPart is the ID of a prompt part, as callers write it. The runner crashes when it begins to answer a request
+	// with the part, and starts again with the models of its spec. Empty: none.
+	CrashPart string `json:"crash_part"`
 }
 
 // Run is one request that the runner started to run.
@@ -43,6 +48,7 @@
 	Request   string    `json:"request"`
 	Tenant    string    `json:"tenant"`
 	Model     string    `json:"model"`
+	Prompt    string    `json:"prompt"`     // X-Mangopass-Prompt-Prefix
 	LastEvent string    `json:"last_event"` // Last-Event-Id of the request: the stream resumes after this event
 	Key       string    `json:"key"`        // the caller's key; must be empty, as keys may not reach a runner
 	Body      string    `json:"body"`
@@ -66,14 +72,17 @@
 	Runs     []Run   `json:"runs"`
 	Orders   []Order `json:"orders"`
 	Overload bool    `json:"overload"` // an order exceeded the memory for models or the adapter slots
+	Crashes  int     `json:"crashes"`
 }
 
 // Runner is the state of a stand-in runner. It is safe for concurrent use.
 type Runner struct {
 	Spec
-	startedMs int64
 
 	mu         sync.Mutex
+	startedMs  int64               // Unix milliseconds of the last start
+	life       context.Context     // ends when the runner crashes
+	endLife    context.CancelFunc  // ends life
 	loaded     map[string][]string // loaded models, each with its loaded adapters
 	loading    string              // model that is being loaded; empty: none
 	busyUntil  time.Time           // an order is in progress until then
@@ -86,11 +95,29 @@
 
 // New returns a runner that holds the models of its spec.
 func New(s Spec) *Runner {
-	r := &Runner{Spec: s, startedMs: time.Now().UnixMilli(), loaded: make(map[string][]string)}
-	for _, m := range s.Models {
+	r := &Runner{Spec: s}
+	r.start()
+	return r
+}
+
+// start puts the runner into the state of a process that has just started. The counts of orders start anew, the record
+// goes on.
+func (r *Runner) start() {
+	r.startedMs, r.sequence, r.loading, r.busyUntil = time.Now().UnixMilli(), 0, "", time.Time{}
+	r.life, r.endLife = context.WithCancel(context.Background())
+	r.loaded = make(map[string][]string)
+	for _, m := range r.Models {
 		r.loaded[m] = []string{}
 	}
-	return r
+}
+
+// crash breaks the connections of all running requests and starts the runner again.
+func (r *Runner) crash() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.record.Crashes++
+	r.endLife()
+	r.start()
 }
 
 // finishLoad adds the model that is being loaded to the loaded ones if its load time is over.
