Refuse requests with a prompt part that crashes engines

Cause: crashes were counted by the digest of the whole request. Requests that share only a part of the prompt never reached the limit, while sound requests that were taken along twice were refused. Change: PartTracker finds the part that the broken runs of several crashes share and that no complete run has, blocks it on all VMs, and forgets the crashes of those taken along. Attempts with the part that have not begun are cancelled. News of parts is repeated until confirmed. An undelimited stream that ends before its first event counts as broken off, as the crash of an engine can look like that. Ruled out: late or lost crash reports (no digest repeated beyond its own caller's retry).

--- a/cmd/processtest/prompt_test.go
+++ b/cmd/processtest/prompt_test.go
@@ -34,9 +34,8 @@
 	sent := 0
 	for ; crashesOf(t, d) < 5 && sent < 10; sent++ {
 		tainted(sent)
-		time.Sleep(300 * time.Millisecond)
+		time.Sleep(1200 * time.Millisecond) // until all entry VMs know the engine's new start
 	}
-	time.Sleep(time.Second)
 	before := taintedRuns(t, d)
 	for range 8 {
 		if got := tainted(sent); got.status != http.StatusServiceUnavailable {
--- a/fleet/link/crashes.go
+++ b/fleet/link/crashes.go
@@ -47,6 +47,9 @@
 	return c != nil && c.runs >= crashLimit && now.Sub(c.lastAt) <= crashWindow
 }
 
+// Forget drops the count of a request whose broken runs have another cause.
+func (t *CrashTracker) Forget(digest uint64) { delete(t.counts, digest) }
+
 // Len returns the number of requests with a count.
 func (t *CrashTracker) Len() int { return len(t.counts) }
 
--- /dev/null
+++ b/fleet/link/parts.go
@@ -0,0 +1,367 @@
+package link
+
+import (
+	"slices"
+	"time"
+
+	"github.com/mangopass/mangopass/duty/clock"
+	"github.com/mangopass/mangopass/fleet/contract"
+	"github.com/mangopass/mangopass/fleet/machine"
+)
+
+// Limits for prompt parts that crash runners.
+const (
+	// BeginTime is the time after the head of an answer within which a part that crashes runners does so. A run that
+	// breaks off later was taken along by another one.
+	BeginTime = 500 * time.Millisecond
+	// strikeLimit is the sum of a part's strikes from which it is blocked.
+	strikeLimit = 15
+	// answeredWeight is the weight of a strike if the runner went down within BeginTime of the answer's head.
+	answeredWeight = 5
+	// unansweredWeight is the weight of a strike of a run without a head. It may have been waiting at the runner, but if
+	// runners go down before they send a head, the fifth crash must be enough.
+	unansweredWeight = 3
+	// settleTime is the time from a part's last necessary strike until it is blocked, in which the other VMs report their
+	// runs of the same crashes, and a complete run can still clear the part.
+	settleTime = 100 * time.Millisecond
+	// strikeSpacing is the time within which crashes count as one. Runners that go down together, as in a loss of power,
+	// have no part in common that explains it.
+	strikeSpacing = 100 * time.Millisecond
+	// sameCrashTime is the time within which runs that break off at one start of a runner belong to the same crash. A
+	// runner takes longer than that to start again, and a starved VM may see its runs break off that much later.
+	sameCrashTime = time.Second
+	// partWindow is how long strikes and complete runs are remembered.
+	partWindow = time.Minute
+	// minBlockTime is how long a part is blocked at first. Each crash after that doubles it, up to maxBlockTime.
+	minBlockTime = 5 * time.Minute
+	maxBlockTime = time.Hour
+	// maxTrackedParts limits the parts with strikes. Further ones are not counted.
+	maxTrackedParts = 4096
+)
+
+// BrokenRun is a run that broke off when its runner went down, and that may be the cause.
+type BrokenRun struct {
+	Digest   uint64   // of the request
+	Parts    []uint64 // of the prompt, as returned by SharedParts
+	Runner   machine.RunnerID
+	Boot     int64         // start of the runner
+	Answered bool          // the head of the answer had arrived, no longer than BeginTime before
+	Age      time.Duration // time since it broke off
+}
+
+// BlockedPart is a prompt part whose requests are refused.
+type BlockedPart struct {
+	Part   uint64
+	Since  time.Duration // time since its first strike
+	Left   time.Duration // time until it is tried again
+	Blocks int           // times that it was blocked in a row
+}
+
+// SharedParts returns the IDs of the parts of a prompt that other requests may share: all but the last one, which belongs
+// to the request.
+func SharedParts(prompt []contract.PromptPart) []uint64 {
+	if len(prompt) < 2 {
+		return nil
+	}
+	ids := make([]uint64, len(prompt)-1)
+	for i := range ids {
+		ids[i] = prompt[i].ID
+	}
+	return ids
+}
+
+// PartTracker finds prompt parts that crash each runner that begins to answer a request with them, whatever else the
+// request holds. A part gets a strike for each crash in which a run with it broke off, and is blocked at strikeLimit. A
+// complete run with the part proves it sound and clears its strikes: a part that sound requests share is cleared again
+// and again, while one that crashes runners never is. Of several parts at the limit the one with most strikes is blocked.
+// The crashes that it explains are then no strikes for the parts of the runs that were taken along.
+type PartTracker struct {
+	parts     map[uint64]*partRecord
+	crashes   map[runnerStart]*crash
+	completed map[uint64]clock.Instant // last complete run with a part
+	reviewAt  clock.Instant            // when the next part may have to be blocked; zero: none is at the limit
+	version   uint64                   // changes with the blocked parts
+}
+
+// runnerStart identifies one process of a runner.
+type runnerStart struct {
+	runner machine.RunnerID
+	boot   int64
+}
+
+// crash is an instant at which a runner went down.
+type crash struct {
+	at        clock.Instant
+	digests   []uint64 // requests with runs that broke off
+	explained bool     // a blocked part was among them
+}
+
+// partRecord holds the strikes of one part, and for how long it is blocked.
+type partRecord struct {
+	position     int      // in the prompt, from the start
+	strikes      []strike // in the order of time, one for each crash
+	blockedSince clock.Instant
+	blockedUntil clock.Instant // zero: never blocked
+	blocks       int
+}
+
+// strike is a crash in which a run with the part broke off.
+type strike struct {
+	crash  *crash
+	weight int
+	digest uint64 // of the request
+}
+
+// NewPartTracker returns a tracker without strikes.
+func NewPartTracker() *PartTracker {
+	return &PartTracker{
+		parts: make(map[uint64]*partRecord), crashes: make(map[runnerStart]*crash),
+		completed: make(map[uint64]clock.Instant),
+	}
+}
+
+// Add counts a broken run. It reports whether a blocked part explains it.
+func (t *PartTracker) Add(run BrokenRun, now clock.Instant) (explained bool) {
+	c := t.crashOf(run, now.Add(-run.Age))
+	for i, part := range run.Parts {
+		p := t.record(part, now)
+		if p == nil {
+			continue
+		}
+		p.position = i
+		p.strike(c, run)
+		c.explained = c.explained || p.blocked(now)
+		if t.reviewAt == 0 && p.guilty() {
+			t.reviewAt = now.Add(settleTime)
+		}
+	}
+	return c.explained
+}
+
+// Review blocks the parts that are at the limit, if it is time. It returns them, and the digests of the requests whose
+// broken runs they explain.
+func (t *PartTracker) Review(now clock.Instant) (blocked, explained []uint64) {
+	if t.reviewAt == 0 || now.Before(t.reviewAt) {
+		return nil, nil
+	}
+	t.reviewAt = 0
+	for {
+		part, p := t.mostGuilty(now)
+		if p == nil {
+			return blocked, explained
+		}
+		p.block(now)
+		t.version++
+		blocked = append(blocked, part)
+		explained = append(explained, p.explain()...)
+	}
+}
+
+// mostGuilty returns the part at the limit that has most strikes, or nil if none is at the limit. Of parts with the same
+// strikes it is the one furthest back in the prompt, which is in fewer requests.
+func (t *PartTracker) mostGuilty(now clock.Instant) (uint64, *partRecord) {
+	var part uint64
+	var most *partRecord
+	for id, p := range t.parts {
+		if p.blocked(now) || !p.guilty() {
+			continue
+		}
+		if most == nil || p.moreGuilty(most) || !most.moreGuilty(p) && id < part {
+			part, most = id, p
+		}
+	}
+	return part, most
+}
+
+// moreGuilty reports whether the part is to be blocked before the other one.
+func (p *partRecord) moreGuilty(other *partRecord) bool {
+	sum, _ := p.sum()
+	otherSum, _ := other.sum()
+	return sum > otherSum || sum == otherSum && p.position > other.position
+}
+
+// crashOf returns the crash that a run which broke off at the given instant belongs to.
+func (t *PartTracker) crashOf(run BrokenRun, at clock.Instant) *crash {
+	key := runnerStart{run.Runner, run.Boot}
+	c := t.crashes[key]
+	if c == nil || at.Sub(c.at) > sameCrashTime {
+		c = &crash{at: at}
+		t.crashes[key] = c
+	}
+	if !slices.Contains(c.digests, run.Digest) {
+		c.digests = append(c.digests, run.Digest)
+	}
+	return c
+}
+
+// record returns the record of a part, or nil if there are too many.
+func (t *PartTracker) record(part uint64, now clock.Instant) *partRecord {
+	p := t.parts[part]
+	if p == nil && len(t.parts) < maxTrackedParts {
+		p = &partRecord{}
+		t.parts[part] = p
+	}
+	if p != nil {
+		p.expire(now)
+	}
+	return p
+}
+
+// strike adds a crash, or raises the weight of the one that is there.
+func (p *partRecord) strike(c *crash, run BrokenRun) {
+	weight := unansweredWeight
+	if run.Answered {
+		weight = answeredWeight
+	}
+	for i := range p.strikes {
+		if p.strikes[i].crash == c {
+			p.strikes[i].weight = max(p.strikes[i].weight, weight)
+			return
+		}
+	}
+	p.strikes = append(p.strikes, strike{crash: c, weight: weight, digest: run.Digest})
+}
+
+// expire drops the strikes that are older than partWindow.
+func (p *partRecord) expire(now clock.Instant) {
+	p.strikes = slices.DeleteFunc(p.strikes, func(s strike) bool { return now.Sub(s.crash.at) > partWindow })
+}
+
+// guilty reports whether the strikes are enough to block the part. They must come from several requests, as one that
+// crashes runners by itself is known by its digest. Once the part has been blocked, one strike is enough.
+func (p *partRecord) guilty() bool {
+	if p.blocks > 0 {
+		return slices.ContainsFunc(p.strikes, func(s strike) bool {
+			return !s.crash.explained && !s.crash.at.Before(p.blockedUntil)
+		})
+	}
+	sum, several := p.sum()
+	return several && sum >= strikeLimit
+}
+
+// sum returns the sum of the strikes that are not explained, and whether they come from several requests.
+func (p *partRecord) sum() (sum int, several bool) {
+	var first, group *strike // the first one, and the first of those that count as one crash
+	weight := 0              // of the group
+	for i := range p.strikes {
+		s := &p.strikes[i]
+		if s.crash.explained {
+			continue
+		}
+		if first == nil {
+			first = s
+		}
+		several = several || s.digest != first.digest
+		if group == nil || s.crash.at.Sub(group.crash.at) >= strikeSpacing {
+			sum, weight, group = sum+weight, 0, s
+		}
+		weight = max(weight, s.weight)
+	}
+	return sum + weight, several
+}
+
+// block blocks the part, twice as long as the last time.
+func (p *partRecord) block(now clock.Instant) {
+	p.blockedSince = now
+	for _, s := range p.strikes {
+		p.blockedSince = min(p.blockedSince, s.crash.at)
+	}
+	p.blockedUntil = now.Add(min(minBlockTime<<min(p.blocks, 8), maxBlockTime))
+	p.blocks++
+}
+
+func (p *partRecord) blocked(now clock.Instant) bool { return now.Before(p.blockedUntil) }
+
+// explain marks the part's crashes as explained, and returns the digests of the requests whose runs broke off in those
+// that were not before.
+func (p *partRecord) explain() []uint64 {
+	var digests []uint64
+	for _, s := range p.strikes {
+		if !s.crash.explained {
+			s.crash.explained = true
+			digests = append(digests, s.crash.digests...)
+		}
+	}
+	return digests
+}
+
+// Blocked returns the first of the given parts that is blocked, and false if none is.
+func (t *PartTracker) Blocked(parts []uint64, now clock.Instant) (uint64, bool) {
+	for _, part := range parts {
+		if p := t.parts[part]; p != nil && p.blocked(now) {
+			return part, true
+		}
+	}
+	return 0, false
+}
+
+// Completed counts a complete run with the given parts, and returns those of them that had strikes. A run that was sent
+// before a peer's strike counts too: no run with a part that crashes runners is ever completed.
+func (t *PartTracker) Completed(parts []uint64, now clock.Instant) []uint64 {
+	var cleared []uint64
+	for _, part := range parts {
+		t.completed[part] = now
+		if p := t.parts[part]; p != nil {
+			if p.blocks > 0 {
+				t.version++
+			}
+			delete(t.parts, part)
+			cleared = append(cleared, part)
+		}
+	}
+	return cleared
+}
+
+// Adopt takes over a part that a peer blocks, and reports whether it was not blocked here. A part with a complete run
+// since its first strike is not taken over.
+func (t *PartTracker) Adopt(b BlockedPart, now clock.Instant) bool {
+	if at, ok := t.completed[b.Part]; ok && now.Sub(at) <= b.Since {
+		return false
+	}
+	p := t.record(b.Part, now)
+	if p == nil || p.blocks > b.Blocks || p.blocks == b.Blocks && p.blocked(now) {
+		return false
+	}
+	before := p.blocked(now)
+	p.blockedSince, p.blockedUntil, p.blocks = now.Add(-b.Since), now.Add(min(b.Left, maxBlockTime)), b.Blocks
+	p.explain()
+	t.version++
+	return !before
+}
+
+// BlockedParts returns the parts that are blocked.
+func (t *PartTracker) BlockedParts(now clock.Instant) []BlockedPart {
+	var out []BlockedPart
+	for part, p := range t.parts {
+		if p.blocked(now) {
+			out = append(out, BlockedPart{
+				Part: part, Since: now.Sub(p.blockedSince), Left: p.blockedUntil.Sub(now), Blocks: p.blocks,
+			})
+		}
+	}
+	return out
+}
+
+// Version returns a number that changes whenever a part is blocked or cleared.
+func (t *PartTracker) Version() uint64 { return t.version }
+
+// Expire forgets what is older than partWindow. A part that was blocked is remembered for as long again, so that the next
+// crash blocks it at once.
+func (t *PartTracker) Expire(now clock.Instant) {
+	for part, p := range t.parts {
+		p.expire(now)
+		if len(p.strikes) == 0 && now.Sub(p.blockedUntil) > p.blockedUntil.Sub(p.blockedSince) {
+			delete(t.parts, part)
+		}
+	}
+	for key, c := range t.crashes {
+		if now.Sub(c.at) > partWindow {
+			delete(t.crashes, key)
+		}
+	}
+	for part, at := range t.completed {
+		if now.Sub(at) > partWindow {
+			delete(t.completed, part)
+		}
+	}
+}
--- a/fleet/link/report.go
+++ b/fleet/link/report.go
@@ -42,6 +42,9 @@
 	Spent      []QuotaUsage           // what was admitted for each organisation
 	Asked      []machine.DemandReport // requests since the last report, and those waiting now; only towards the planner
 	Struck     []uint64               // digests of requests with a broken run since the last report, once for each run
+	Broken     []BrokenRun            // runs that broke off since the last report, for the parts of their prompts
+	Sound      []uint64               // prompt parts with strikes that a complete run has proved sound since
+	Blocked    []BlockedPart          // all prompt parts that the sender blocks, when they have changed
 
 	StoreRevision int64      // revision of the platform's store up to which the sender knows the changes
 	Feed          *StoreFeed // what changed in the store since; only to a VM below the sender
--- a/node/entry/admission.go
+++ b/node/entry/admission.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"time"
 
 	"github.com/mangopass/mangopass/duty/clock"
@@ -40,6 +41,9 @@
 	quotaOverRateShare = 0.8
 )
 
+// blockedPartDetail is the detail of a refusal for a part of the prompt.
+const blockedPartDetail = "part %x of the prompt has crashed several runners"
+
 // apply admits or refuses a new call and dispatches it.
 func (m callArrived) apply(r *routing, now clock.Instant) {
 	c := m.call
@@ -76,6 +80,9 @@
 	if r.crashes.Blocked(c.request.Digest, now) {
 		return contract.Refuse(contract.CrashSuspect, 0, "runs of this request have broken off at several runners")
 	}
+	if part, blocked := r.promptParts.Blocked(c.parts, now); blocked {
+		return contract.Refuse(contract.CrashSuspect, 0, blockedPartDetail, part)
+	}
 	return r.chargeQuota(c, now)
 }
 
@@ -159,6 +166,10 @@
 
 // dispatch sends a call to a runner, queues it until a replica is there, or refuses it.
 func (r *routing) dispatch(c *call, now clock.Instant) {
+	if part, blocked := r.promptParts.Blocked(c.parts, now); blocked {
+		r.refuseBlocked(c, part, now)
+		return
+	}
 	if c.deadline.Sub(now) < minAttemptTime {
 		r.refuseWithCode(c, contract.DeadlineExceeded, "the deadline has passed", now)
 		return
@@ -208,6 +219,15 @@
 	r.refuse(c, contract.Refuse(contract.Overloaded, retryAfter, "the queue is longer than the time left"), now)
 }
 
+// refuseBlocked refuses a call that was admitted before a part of its prompt was blocked.
+func (r *routing) refuseBlocked(c *call, part uint64, now clock.Instant) {
+	if c.runs > 0 {
+		r.refuse(c, contract.Failed(contract.CrashSuspect, blockedPartDetail, part), now)
+		return
+	}
+	r.refuse(c, contract.Refuse(contract.CrashSuspect, 0, blockedPartDetail, part), now)
+}
+
 // priority returns the rank that a call's attempt has at a runner, 0 being the first. An organisation's priority goes
 // before that of the route. Calls that are late in any case come after all others.
 func (c *call) priority(timely bool) int {
@@ -246,6 +266,8 @@
 		a.priority = c.priority(choice.Timely)
 	}
 	a.silenceTimeout = silenceTimeout(route, a, c.deadline.Sub(now))
+	a.ctx, a.cancel = context.WithCancelCause(c.ctx)
+	c.cancel, r.inFlight[c] = a.cancel, true
 	r.table.Link(runner).Sent(c.artifact, choice.Prefill, choice.Timely)
 	r.log.Info("sent", "request", c.request.ID, "route", route.Name, "runner", runner.ID, "model", c.artifact.Model,
 		"adapter", c.artifact.Adapter, "attempt", c.sends, "queued_ms", choice.Wait.Milliseconds(), "timely", choice.Timely,
@@ -345,6 +367,7 @@
 func (m callCancelled) apply(r *routing, now clock.Instant) {
 	c := m.call
 	r.stopWaiting(c)
+	delete(r.inFlight, c)
 	if c.cost > 0 && c.sends == 0 && c.admitted.Organisation != nil {
 		r.quota(c.admitted.Organisation, now).Refund(c.cost, now)
 		c.cost = 0
--- a/node/entry/attempts.go
+++ b/node/entry/attempts.go
@@ -11,6 +11,7 @@
 
 // apply records the time to the first event of a stream.
 func (m attemptStarted) apply(r *routing, _ clock.Instant) {
+	delete(r.inFlight, m.call)
 	if l := r.linkOf(m.attempt); l != nil {
 		expected := m.attempt.expectedLatency
 		if !m.attempt.timely {
@@ -35,6 +36,8 @@
 func (m attemptEnded) apply(r *routing, now clock.Instant) {
 	c := m.call
 	c.streaming = c.streaming || m.streaming
+	delete(r.inFlight, c)
+	r.judgeParts(m, now)
 	if l := r.linkOf(m.attempt); l != nil {
 		if !m.started {
 			l.Started(m.attempt.artifact, m.attempt.prefill, m.attempt.timely, 0, 0)
@@ -108,6 +111,9 @@
 	case m.result == resultTimeout:
 		r.refuse(c, contract.Failed(contract.DeadlineExceeded, "no answer within the deadline"), now)
 		return
+	case m.result == resultWithdrawn:
+		r.refuse(c, contract.Failed(contract.CrashSuspect, "a part of the prompt has crashed several runners"), now)
+		return
 	case m.result == resultBroken && m.attempt.artifact.Model != "" && !c.streaming:
 		r.countCrash(c.request.Digest, "", now)
 		if r.crashes.Blocked(c.request.Digest, now) {
--- a/node/entry/callers.go
+++ b/node/entry/callers.go
@@ -12,6 +12,7 @@
 	"github.com/mangopass/mangopass/duty/clock"
 	"github.com/mangopass/mangopass/duty/ring"
 	"github.com/mangopass/mangopass/fleet/contract"
+	"github.com/mangopass/mangopass/fleet/link"
 	"github.com/mangopass/mangopass/platform"
 )
 
@@ -54,7 +55,10 @@
 }
 
 func newCall(ctx context.Context, request *contract.Request) *call {
-	return &call{ctx: ctx, request: request, decisions: ring.New[decision]("decision", 1)}
+	return &call{
+		ctx: ctx, request: request, parts: link.SharedParts(request.Prompt),
+		decisions: ring.New[decision]("decision", 1),
+	}
 }
 
 // exchange serves one caller's request: it makes the attempts and writes the answer.
@@ -135,7 +139,7 @@
 func (x *exchange) attempt(a attempt) attemptEnded {
 	begin := clock.Now()
 	end := attemptEnded{call: x.call, attempt: a}
-	ctx, cancel := context.WithCancelCause(x.call.ctx)
+	ctx, cancel := a.ctx, a.cancel
 	defer cancel(nil)
 	deadline := time.AfterFunc(a.deadline.Sub(begin), func() { cancel(errDeadline) })
 	defer deadline.Stop()
@@ -149,7 +153,7 @@
 	})
 	if err == nil {
 		defer answer.Close()
-		end.answered = true
+		end.answered, end.status, end.delimited = true, answer.Status, answer.Delimited()
 		answeredAt := clock.Now()
 		if answer.IsStream() {
 			err = x.forwardStream(answer, a, &end, begin, silence)
@@ -158,7 +162,7 @@
 		}
 		end.answering = clock.Now().Sub(answeredAt)
 	}
-	end.took, end.cause = clock.Now().Sub(begin), err
+	end.took, end.cause, end.lost = clock.Now().Sub(begin), err, platform.ConnectionLost(err)
 	if end.result == resultServed && err != nil {
 		end.result = x.classify(ctx, err)
 		end.final = end.result == resultCallerGone
@@ -170,6 +174,7 @@
 	errDeadline = errors.New("the deadline has passed")
 	errSilent   = errors.New("the runner sent nothing within the silence timeout")
 	errStopping = errors.New("the process is stopping")
+	errBlocked  = errors.New("a part of the prompt crashes runners")
 )
 
 // classify maps the error of an attempt to a result.
@@ -177,6 +182,8 @@
 	switch cause := context.Cause(ctx); {
 	case errors.Is(cause, errDeadline), errors.Is(cause, errStopping):
 		return resultTimeout
+	case errors.Is(cause, errBlocked):
+		return resultWithdrawn
 	case x.call.ctx.Err() != nil:
 		return resultCallerGone
 	}
@@ -237,7 +244,7 @@
 		silence.reset()
 		if !end.started {
 			end.started = true
-			_ = x.routing.TryPush(attemptStarted{attempt: a, took: clock.Now().Sub(begin)})
+			_ = x.routing.TryPush(attemptStarted{call: x.call, attempt: a, took: clock.Now().Sub(begin)})
 		}
 		if !x.headWritten {
 			x.writeHead(answer)
--- a/node/entry/members.go
+++ b/node/entry/members.go
@@ -60,6 +60,9 @@
 	knownVersion      uint64        // version of this VM's runner states that it has
 	loadRequests      []machine.LoadRequest
 	unreportedCrashes []uint64                              // request digests of broken runs to report to it
+	partNews          partNews                              // to report to it
+	partNewsSent      partNews                              // in the report under way
+	blockedSent       uint64                                // version of the blocked prompt parts that was last sent
 	needsAll          bool                                  // the next report holds all loads and totals
 	allSentAt         clock.Instant                         // time when all were last sent to it
 	changed           link.Changes                          // loads that changed since they were last reported to it
--- a/node/entry/message.go
+++ b/node/entry/message.go
@@ -21,6 +21,7 @@
 type call struct {
 	ctx       context.Context
 	request   *contract.Request
+	parts     []uint64 // of the prompt, as far as other requests may share them
 	decisions *ring.Ring[decision]
 
 	admitted  contract.Admission
@@ -33,7 +34,8 @@
 	sends     int // attempts sent to runners
 	runs      int // of those, attempts that the runner may have executed
 	exclude   []machine.RunnerID
-	streaming bool // part of the answer has been sent to the caller
+	cancel    context.CancelCauseFunc // ends the attempt in progress; nil: there is none
+	streaming bool                    // part of the answer has been sent to the caller
 }
 
 // decision is the routing duty's reply to a new call or a failed attempt: another attempt or a refusal.
@@ -44,6 +46,8 @@
 
 // attempt is one transmission of a call to a runner.
 type attempt struct {
+	ctx             context.Context
+	cancel          context.CancelCauseFunc
 	runner          machine.RunnerID
 	boot            int64
 	address         string
@@ -70,11 +74,13 @@
 	resultFailed             // a server error to a safe request, which another runner may still answer
 	resultTimeout            // the deadline has passed
 	resultCallerGone         // the caller has disconnected
+	resultWithdrawn          // cancelled by the routing duty; the request may have run
 )
 
 // String returns the result's name for logs and metrics.
 func (r result) String() string {
-	return [...]string{"served", "unreachable", "shed", "no_replica", "broken", "failed", "timeout", "gone"}[r]
+	return [...]string{"served", "unreachable", "shed", "no_replica", "broken", "failed", "timeout", "gone",
+		"withdrawn"}[r]
 }
 
 // callArrived is a new call.
@@ -85,6 +91,7 @@
 
 // attemptStarted is the first event of a stream.
 type attemptStarted struct {
+	call    *call
 	attempt attempt
 	took    time.Duration
 }
@@ -96,6 +103,9 @@
 	result    result
 	cause     error
 	took      time.Duration
+	status    int           // of the answer; zero: none
+	delimited bool          // the answer tells where it ends, so that a complete one is known to be complete
+	lost      bool          // the connection ended before the answer did
 	answered  bool          // the head of the answer has arrived
 	answering time.Duration // time since then
 	started   bool          // the first event has arrived; attemptStarted was pushed unless the ring was full
--- a/node/entry/metrics.go
+++ b/node/entry/metrics.go
@@ -25,6 +25,7 @@
 	shards          prometheus.Gauge
 	waiting         prometheus.Gauge
 	planner         prometheus.Gauge
+	blockedParts    prometheus.Gauge
 	gaugesUpdatedAt clock.Instant
 }
 
@@ -68,9 +69,11 @@
 		shards:  newGauge("shards_held", "Shards of runners that this VM leads."),
 		waiting: newGauge("requests_waiting", "Requests that wait for a replica."),
 		planner: newGauge("planner", "1 if this VM decides on placement."),
+		blockedParts: newGauge("prompt_parts_blocked",
+			"Prompt parts whose requests are refused because they crash runners."),
 	}
 	r.MustRegister(m.sent, m.results, m.refused, m.orders, m.firstEvent, m.request, m.manifest, m.manifestAge,
-		m.runners, m.peers, m.shards, m.waiting, m.planner)
+		m.runners, m.peers, m.shards, m.waiting, m.planner, m.blockedParts)
 	return m
 }
 
@@ -99,6 +102,7 @@
 	m.peers.WithLabelValues("silent").Set(float64(len(r.members.peers) - heard))
 	m.shards.Set(float64(r.leader.heldShards(now)))
 	m.waiting.Set(float64(len(r.waiting)))
+	m.blockedParts.Set(float64(len(r.promptParts.BlockedParts(now))))
 	m.planner.Set(0)
 	if r.members.planner == r.node {
 		m.planner.Set(1)
--- a/node/entry/reports.go
+++ b/node/entry/reports.go
@@ -103,6 +103,8 @@
 	report.Wishes, p.loadRequests = p.loadRequests, nil
 	if p.needsAll = !p.outbox.TryPush(report); !p.needsAll {
 		p.reportPending, p.urgent, p.sentAt = true, false, now
+	} else {
+		p.partNews.add(p.partNewsSent)
 	}
 }
 
@@ -121,6 +123,7 @@
 	}
 	report.Loads, report.Spent = r.loadsFor(name, p), r.quotaUsageFor(name, p, now)
 	report.Struck, p.unreportedCrashes = p.unreportedCrashes, nil
+	r.addPartNews(report, p, now)
 	if p == r.towardsPlanner() {
 		report.Asked = r.demand.Take(r.waitingRequests(), now)
 	}
@@ -185,6 +188,7 @@
 	p.reportPending = false
 	if !m.ok {
 		p.needsAll, p.fedRevision = true, 0 // whether the peer has applied the report is unknown
+		p.partNews.add(p.partNewsSent)
 		if p.failures++; p.failures >= maxDeliveryFailures {
 			p.avoidUntil = now.Add(avoidTime)
 		}
@@ -260,6 +264,7 @@
 	for _, digest := range in.Struck {
 		r.countCrash(digest, in.Node, now)
 	}
+	r.applyPartNews(in, now)
 	r.applyDemand(in, p, now)
 	r.applyFeed(in.Feed, now)
 	r.applyLeaderState(in, p, now)
@@ -289,15 +294,20 @@
 	}
 }
 
-// countCrash counts a broken run of a request and passes it on to the neighbours that cannot know it from elsewhere;
-// source is the VM that reported it, empty for this one.
+// countCrash counts a broken run of a request and passes it on; source is the VM that reported it, empty for this one.
 func (r *routing) countCrash(digest uint64, source string, now clock.Instant) {
 	r.crashes.Add(digest, now)
+	r.passOn(source, func(p *peer) { p.unreportedCrashes = append(p.unreportedCrashes, digest) })
+}
+
+// passOn calls add for the neighbours that cannot know from elsewhere what source has reported; an empty source is this
+// VM.
+func (r *routing) passOn(source string, add func(p *peer)) {
 	from := r.members.peers[source]
 	fromBelow := from == nil || from.role == link.Child
 	for name, p := range r.members.peers {
 		if name != source && (p.role == link.Child || p.role != link.Unrelated && fromBelow) {
-			p.unreportedCrashes = append(p.unreportedCrashes, digest)
+			add(p)
 		}
 	}
 }
--- a/node/entry/routing.go
+++ b/node/entry/routing.go
@@ -60,7 +60,9 @@
 	quotas           map[contract.OrganisationName]*contract.Quota
 	retryBudgets     map[contract.ServiceName]*link.RetryBudget
 	crashes          *link.CrashTracker
+	promptParts      *link.PartTracker
 	crashesExpiredAt clock.Instant
+	inFlight         map[*call]bool // with an attempt whose answer has not begun
 	waiting          []*call
 	demand           *machine.DemandBook
 
@@ -77,7 +79,8 @@
 		table:        link.NewTable(s.Zones, random),
 		quotas:       make(map[contract.OrganisationName]*contract.Quota),
 		retryBudgets: make(map[contract.ServiceName]*link.RetryBudget),
-		crashes:      link.NewCrashTracker(), demand: machine.NewDemandBook(),
+		crashes:      link.NewCrashTracker(), promptParts: link.NewPartTracker(), inFlight: make(map[*call]bool),
+		demand: machine.NewDemandBook(),
 	}
 	r.leader.scheduler = machine.NewScheduler(r.fleet, r.table, r)
 	for k := range r.leader.shards {
@@ -122,6 +125,7 @@
 	for _, id := range r.fleet.Expire(now) {
 		r.log.Info("runner gone", "runner", id, "reason", "entry did not come back after the store's outage")
 	}
+	r.reviewParts(now)
 	r.dispatchWaiting(now)
 	r.checkTerms(now)
 	r.schedule(now)
@@ -129,6 +133,7 @@
 	if now.Sub(r.crashesExpiredAt) > crashExpiryPeriod {
 		r.crashesExpiredAt = now
 		r.crashes.Expire(now)
+		r.promptParts.Expire(now)
 	}
 	r.updateGauges(now)
 	r.ready.Store(r.isReady(now))
--- a/node/entry/tree.go
+++ b/node/entry/tree.go
@@ -110,6 +110,7 @@
 	p.needsAll, p.complete, p.failures = true, false, 0
 	clear(p.reportedUsage)
 	p.membersSent, p.fedRevision, p.feedSent = 0, 0, 0
+	p.partNews, p.partNewsSent = partNews{}, partNews{}
 	if role == link.Unrelated {
 		r.table.SetPeer(name, nil)
 	} else {
