Log the rate limits that runners state

Nothing read the limit, and the logs could not show when a VM learns of it, or how long it holds. Change: the limit of each answer, rejections included, is decoded; a change of a runner's limit is logged, and the limited runners are counted in a gauge. The limit is not kept yet.

--- a/fleet/machine/runner.go
+++ b/fleet/machine/runner.go
@@ -77,6 +77,10 @@
 	LeavesAt clock.Instant // zero: not known to leave
 	Engine   bool          // the runner is a model engine
 
+	// RateLimit is the number of requests a second that the runner states to take from all entry VMs together; zero: it
+	// states no limit.
+	RateLimit float64
+
 	Sequence int64
 	Replicas map[contract.ModelName]*Replica
 	InMemory []contract.ModelName // as in Contents, like Sequence and OnDisk
--- a/node/entry/admission.go
+++ b/node/entry/admission.go
@@ -253,7 +253,7 @@
 	route := c.admitted.Route
 	a := attempt{
 		runner: runner.ID, boot: runner.Boot, address: runner.Address, artifact: c.artifact, prefill: choice.Prefill,
-		timely: choice.Timely, expectedLatency: choice.Wait + choice.Prefill + link.FirstTokenTime,
+		timely: choice.Timely, limited: runner.RateLimit > 0, expectedLatency: choice.Wait + choice.Prefill + link.FirstTokenTime,
 		deadline: c.deadline, priority: -1,
 		resumable: route.Kind == contract.Stream && route.Resumable,
 	}
--- a/node/entry/callers.go
+++ b/node/entry/callers.go
@@ -151,6 +151,7 @@
 		Runner: a.runner, Address: a.address, Organisation: a.organisation, Remaining: a.deadline.Sub(begin),
 		Priority: a.priority, LastEvent: x.lastEventID,
 	})
+	x.reportLimit(a, answer, err)
 	if err == nil {
 		defer answer.Close()
 		end.answered, end.status, end.delimited = true, answer.Status, answer.Delimited()
@@ -170,6 +171,20 @@
 	return end
 }
 
+// reportLimit tells the routing duty of the rate limit that a runner states, or states no longer. A rejection without a
+// limit does not say that there is none.
+func (x *exchange) reportLimit(a attempt, answer *platform.Answer, err error) {
+	stated := limitStated{runner: a.runner, boot: a.boot, perSecond: platform.RateLimitOf(err)}
+	lifted := false
+	if err == nil {
+		stated.perSecond = answer.RateLimit
+		lifted = a.limited && stated.perSecond == 0 && answer.Status/100 == http.StatusOK/100
+	}
+	if stated.perSecond > 0 || lifted {
+		_ = x.routing.TryPush(stated) // the next answer states it again
+	}
+}
+
 var (
 	errDeadline = errors.New("the deadline has passed")
 	errSilent   = errors.New("the runner sent nothing within the silence timeout")
--- a/node/entry/message.go
+++ b/node/entry/message.go
@@ -55,6 +55,7 @@
 	organisation    contract.OrganisationName
 	prefill         time.Duration
 	timely          bool          // expected to meet the latency objective
+	limited         bool          // the runner has stated a rate limit
 	expectedLatency time.Duration // time to the first event or answer
 	deadline        clock.Instant
 	priority        int
@@ -96,6 +97,13 @@
 	took    time.Duration
 }
 
+// limitStated is the rate limit that a runner has stated in an answer.
+type limitStated struct {
+	runner    machine.RunnerID
+	boot      int64
+	perSecond float64 // zero: the answer states none
+}
+
 // attemptEnded is the end of an attempt. The call waits for a further decision unless final is set.
 type attemptEnded struct {
 	call      *call
--- a/node/entry/metrics.go
+++ b/node/entry/metrics.go
@@ -89,13 +89,17 @@
 	}
 	m.gaugesUpdatedAt = now
 	m.manifestAge.Set(r.freshness.Age(now).Seconds())
-	usable := 0
+	usable, limited := 0, 0
 	for _, runner := range r.fleet.All() {
 		if runner.Usable(now) {
 			usable++
 		}
+		if runner.RateLimit > 0 {
+			limited++
+		}
 	}
 	m.runners.WithLabelValues("usable").Set(float64(usable))
+	m.runners.WithLabelValues("limited").Set(float64(limited))
 	m.runners.WithLabelValues("leaving").Set(float64(len(r.fleet.All()) - usable))
 	heard := r.members.countHeard(now)
 	m.peers.WithLabelValues("heard").Set(float64(heard))
