--- a/standin/runner/http.go
+++ b/standin/runner/http.go
@@ -88,6 +88,9 @@
 		return
 	}
 	faults, index, status := r.admit(req, string(body))
+	if faults.RateLimit > 0 {
+		w.Header().Set("Server-Limit", strconv.FormatFloat(faults.RateLimit, 'f', -1, 64))
+	}
 	if status != 0 {
 		if status == http.StatusServiceUnavailable {
 			w.Header().Set("X-Mangopass-Not-Executed", "1")
@@ -144,11 +147,11 @@
 	h := req.Header
 	model := h.Get("X-Mangopass-Model")
 	if r.Engine && !r.canServe(model) {
-		return runFaults{}, 0, http.StatusMisdirectedRequest
+		return runFaults{Faults: r.faults}, 0, http.StatusMisdirectedRequest
 	}
 	if r.running >= r.Slots || r.faults.Shed > 0 {
 		r.faults.Shed = max(0, r.faults.Shed-1)
-		return runFaults{}, 0, http.StatusServiceUnavailable
+		return runFaults{Faults: r.faults}, 0, http.StatusServiceUnavailable
 	}
 	r.running++
 	r.record.Runs = append(r.record.Runs, Run{
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -41,6 +41,10 @@
 	// CrashPart is the ID of a prompt part, as callers write it. The runner crashes when it begins to answer a request
 	// with the part, and starts again with the models of its spec. Empty: none.
 	CrashPart string `json:"crash_part"`
+
+	// RateLimit is the number of requests a second that the runner states to take in its answers; zero: none. It takes
+	// more all the same.
+	RateLimit float64 `json:"rate_limit"`
 }
 
 // Run is one request that the runner started to run.
