Keep the rate limits that runners state over all entry VMs

Cause: the limit was not read. It binds the sum over all VMs, which no VM can keep by itself. Change: the newest statement is shared with the reports; each VM counts what it sends to a limited runner in a token bucket that all VMs share like the limit of an organisation. Requests for which all runners are at their limits wait for their turn at random times, or are refused as not run with a time to come back. The planner loads a model elsewhere whose replicas are all limited. Ruled out: limits lost with answers that don't state them (none between the first and last statement, 13 of 13 engines).

--- a/fleet/link/report.go
+++ b/fleet/link/report.go
@@ -38,8 +38,9 @@
 	Whole      bool                   // whether Loads and Spent are complete, or only what changed since the last report
 	Incomplete bool                   // the sender lacks a complete report of the receiver
 	Loads      []Load                 // requests at the runners; a load without requests has ended
-	Series     int64                  // identifies the running totals in Spent, which start anew with it
+	Series     int64                  // identifies the running totals in Spent and Limits, which start anew with it
 	Spent      []QuotaUsage           // what was admitted for each organisation
+	Limits     []LimitUsage           // limits that runners have stated, and what was sent to them
 	Asked      []machine.DemandReport // requests since the last report, and those waiting now; only towards the planner
 	Struck     []uint64               // digests of requests with a broken run since the last report, once for each run
 	Broken     []BrokenRun            // runs that broke off since the last report, for the parts of their prompts
--- a/fleet/link/table.go
+++ b/fleet/link/table.go
@@ -18,11 +18,14 @@
 	From         zone.ID               // zone of this entry VM
 	Exclude      []machine.RunnerID    // runners at which this request has failed
 	Left         time.Duration         // time left until the first event is late
+	Waited       bool                  // the request has waited for a replica, or for a runner at its rate limit
 }
 
 // Choice is a runner for a request, with the expected times there.
 type Choice struct {
 	Runner  *machine.Runner
+	Limited bool          // there is no runner, but some could take the request if they were not at their rate limits
+	Retry   time.Duration // if so, the shortest time after which one of them may take it
 	Prefill time.Duration // time to read the part of the prompt that the runner has not cached
 	Wait    time.Duration // prefill time of the requests queued there that go before this one
 	Timely  bool          // the first event is expected in time
@@ -51,10 +54,11 @@
 // are updated with every change instead of summed up when needed, since each choice looks at every runner.
 type Table struct {
 	*ledger
-	links map[machine.RunnerID]*RunnerLink
-	peers map[string]*reportedLoads // by name of the peer
-	zones zone.Map
-	rand  *rand.Rand
+	Limits *RateLimits
+	links  map[machine.RunnerID]*RunnerLink
+	peers  map[string]*reportedLoads // by name of the peer
+	zones  zone.Map
+	rand   *rand.Rand
 }
 
 // reportedLoads is what a peer reports.
@@ -67,7 +71,7 @@
 // NewTable returns an empty table.
 func NewTable(zones zone.Map, r *rand.Rand) *Table {
 	return &Table{
-		ledger: newLedger(), links: make(map[machine.RunnerID]*RunnerLink), peers: make(map[string]*reportedLoads),
+		ledger: newLedger(), Limits: newRateLimits(r), links: make(map[machine.RunnerID]*RunnerLink), peers: make(map[string]*reportedLoads),
 		zones: zones, rand: r,
 	}
 }
@@ -94,6 +98,7 @@
 			delete(t.links, id)
 		}
 	}
+	t.Limits.prune(f)
 	for id, sum := range t.totals {
 		if f.Get(id) == nil && sum.running == 0 {
 			delete(t.totals, id)
@@ -216,10 +221,11 @@
 
 // Pick chooses the runner with the lowest cost for a request, mainly the expected delay of its first event, and adds
 // the prompt's prefixes to those expected to be cached there. It returns false if no usable runner meets the
-// requirements.
+// requirements, or those that do are at their rate limits.
 func (t *Table) Pick(f *machine.Fleet, req Requirements, now clock.Instant) (Choice, bool) {
 	var best Choice
-	lowest := time.Duration(-1)
+	var refused Choice
+	var lowest time.Duration
 	var hashes []uint64
 	for _, r := range f.All() {
 		if r.Service != req.Artifact.Service || !r.Usable(now) || excluded(req.Exclude, r.ID) {
@@ -228,17 +234,23 @@
 		if req.Artifact.Model != "" && !r.Replica(req.Artifact.Model).Ready(req.Artifact.Adapter, now) {
 			continue
 		}
+		if admits, retry := t.Limits.Admits(r, req.Waited, now); !admits {
+			if !refused.Limited || retry < refused.Retry {
+				refused = Choice{Limited: true, Retry: retry}
+			}
+			continue
+		}
 		if hashes == nil {
 			hashes = prefixHashes(req.Artifact, req.Prompt)
 		}
 		choice := t.evaluate(r, req, hashes)
 		cost := t.cost(choice, req, now)
-		if lowest < 0 || cost < lowest {
+		if best.Runner == nil || cost < lowest {
 			best, lowest = choice, cost
 		}
 	}
 	if best.Runner == nil {
-		return Choice{}, false
+		return refused, false
 	}
 	t.Link(best.Runner).cachePrefixes(hashes)
 	return best, true
@@ -282,8 +294,8 @@
 }
 
 // cost returns the expected delay of a request's first event at a runner, multiplied by the slowness of a slow runner,
-// plus the round-trip time, the costs of another zone and of a runner that is ejected or about to leave, and a random
-// jitter.
+// plus the round-trip time, the costs of another zone and of a runner that is ejected, about to leave or limited, and a
+// random jitter.
 func (t *Table) cost(c Choice, req Requirements, now clock.Instant) time.Duration {
 	l := t.Link(c.Runner)
 	running := t.totalFor(c.Runner.ID).running
@@ -299,7 +311,7 @@
 	if c.Runner.LeavesAt != 0 || l.Ejected(now) {
 		cost += ejectedCost
 	}
-	return cost + time.Duration(t.rand.Int64N(int64(jitter)))
+	return cost + t.Limits.cost(c.Runner, now) + time.Duration(t.rand.Int64N(int64(jitter)))
 }
 
 // PrefillTime returns the time that an engine takes to read the given number of prompt tokens.
--- a/fleet/machine/loads.go
+++ b/fleet/machine/loads.go
@@ -131,7 +131,7 @@
 		if m := s.engine(best.runner).Models[a.Model]; s.loadTime(best.runner, m) == m.LoadCold {
 			s.addColdLoad(best.runner, a.Model, now)
 		}
-		s.modelDemand(a).replicas++
+		s.modelDemand(a).addReplica(best.runner)
 	default:
 		s.reserved[best.runner.ID]++
 		s.reportDelay(
--- a/fleet/machine/modeldemand.go
+++ b/fleet/machine/modeldemand.go
@@ -37,6 +37,7 @@
 	urgentRate   float64       // of those, requests that cannot wait for a load
 	utilization  float64       // prefill seconds per second
 	replicas     int           // usable runners that have the model or are about to load it
+	limited      int           // of the replicas, those at runners that state a rate limit
 }
 
 // needed returns the number of replicas that the demand justifies.
@@ -73,14 +74,25 @@
 			continue
 		}
 		for name := range r.Replicas {
-			s.modelDemand(Artifact{Service: r.Service, Model: name}).replicas++
+			s.modelDemand(Artifact{Service: r.Service, Model: name}).addReplica(r)
 		}
 		if m := s.incomingModel(r, now); m != "" && r.Replica(m) == nil {
-			s.modelDemand(Artifact{Service: r.Service, Model: m}).replicas++
+			s.modelDemand(Artifact{Service: r.Service, Model: m}).addReplica(r)
 		}
 	}
 }
 
+func (d *modelDemand) addReplica(r *Runner) {
+	d.replicas++
+	if r.RateLimit > 0 {
+		d.limited++
+	}
+}
+
+// starved reports whether requests wait for the model and no replica can take them: there is none, or only at runners that
+// state a rate limit.
+func (d *modelDemand) starved() bool { return d.waiting > 0 && d.replicas == d.limited }
+
 func (s *Scheduler) modelDemand(base Artifact) *modelDemand {
 	d := s.modelDemands[base]
 	if d == nil {
@@ -91,16 +103,16 @@
 }
 
 // gain returns what one more replica is worth, in requests. If the model has none, these are the requests that wait,
-// weighted by 1 plus the seconds since the wait began. Otherwise they are those that come late each second because
-// the present replicas are overloaded.
+// weighted by 1 plus the seconds since the wait began; if all replicas are at rate limits, a part of those that wait.
+// Otherwise they are those that come late each second because the present replicas are overloaded.
 func (d *modelDemand) gain(now clock.Instant) float64 {
-	if d.replicas == 0 {
-		if d.waiting == 0 {
-			return 0
-		}
+	switch {
+	case d.waiting > 0 && d.replicas == 0:
 		return waitingGain * float64(d.waiting) * (1 + now.Sub(d.waitingSince).Seconds())
+	case d.starved():
+		return limitedWaitingGain * float64(d.waiting)
 	}
-	if d.replicas >= d.needed() {
+	if d.replicas == 0 || d.replicas >= d.needed() {
 		return 0
 	}
 	overload := (d.utilization/float64(d.replicas) - replicaUtilization) / replicaUtilization
@@ -111,7 +123,7 @@
 // wait, those count most that a load can still serve within their latency objective: the less time is left, the more.
 func (d *modelDemand) rank(now clock.Instant) float64 {
 	gain := d.gain(now)
-	if d.replicas > 0 || gain == 0 {
+	if !d.starved() {
 		return gain
 	}
 	left := d.due.Sub(now)
--- a/fleet/machine/placement_test.go
+++ b/fleet/machine/placement_test.go
@@ -323,3 +323,27 @@
 		t.Errorf("%d loads started in %v at a limit of 0.6 per second, want at most 3", started, coldLoadWindow)
 	}
 }
+
+// TestStarvedModelIsLoadedElsewhere guards requests for a model whose only replica is at a runner that is at its rate
+// limit: another runner must load the model too, but not while no request waits.
+func TestStarvedModelIsLoadedElsewhere(t *testing.T) {
+	for waiting, want := range map[int]int{0: 0, 5: 1} {
+		sim := newSimulation(2, 8)
+		sim.fleet.Get("r0").RateLimit = 1
+		loads := 0
+		for range 100 {
+			sim.advance(20 * time.Millisecond)
+			sim.scheduler.Observe("n", []DemandReport{{Artifact: artifact(0, 0), Waiting: waiting, Arrivals: 1}}, sim.now)
+			plan := sim.scheduler.Plan(true, sim.now)
+			for _, o := range plan.Orders {
+				if o.Kind == Load && o.Model == modelName(0) && o.Runner == "r1" {
+					loads++
+				}
+			}
+			sim.execute(plan, func() int { return 9 })
+		}
+		if loads != want {
+			t.Errorf("%d requests wait: %d loads of the model at the other runner, want %d", waiting, loads, want)
+		}
+	}
+}
--- a/node/entry/admission.go
+++ b/node/entry/admission.go
@@ -21,6 +21,8 @@
 	manifestRetryAfter = 500 * time.Millisecond
 	runnerRetryAfter   = 150 * time.Millisecond
 	replicaRetryAfter  = time.Second
+	// minLimitRetryAfter is the least retry delay sent to a caller if all runners are at their rate limits.
+	minLimitRetryAfter = 100 * time.Millisecond
 	// minAttemptTime is the shortest time before the deadline at which a call is still sent to a runner.
 	minAttemptTime = 15 * time.Millisecond
 	// maxSends limits the attempts of one call, including those that the runner did not execute.
@@ -176,7 +178,7 @@
 	}
 	requirements := link.Requirements{
 		Artifact: c.artifact, PromptTokens: c.request.PromptTokens, Prompt: c.request.Prompt, From: r.zone,
-		Exclude: c.exclude, Left: c.timeToObjective(now),
+		Exclude: c.exclude, Left: c.timeToObjective(now), Waited: c.waiting,
 	}
 	choice, ok := r.table.Pick(r.fleet, requirements, now)
 	if ok && !choice.Timely && choice.Wait+choice.Prefill > c.deadline.Sub(now) {
@@ -187,15 +189,22 @@
 		r.send(c, choice, now)
 		return
 	}
-	if _, known := r.model(c); !known {
+	_, known := r.model(c)
+	switch {
+	case choice.Limited && (!known && now.Add(choice.Retry).After(c.waitUntil) || r.waitedLongEnough(c, now)):
+		r.refuseLimited(c, choice.Retry, now)
+	case !known && !choice.Limited:
 		r.refuseWithCode(c, contract.NoRunner, "no runner of the service is usable", now)
-		return
-	}
-	if !now.Before(c.waitUntil) || r.stopping && !now.Before(r.stopWaitUntil) {
+	case r.waitedLongEnough(c, now):
 		r.refuseWithCode(c, contract.NoReplica, "no runner holds the model", now)
-		return
+	default:
+		r.wait(c, choice.Limited, now)
 	}
-	r.waitForReplica(c, now)
+}
+
+// waitedLongEnough reports whether a call may wait no longer.
+func (r *routing) waitedLongEnough(c *call, now clock.Instant) bool {
+	return !now.Before(c.waitUntil) || r.stopping && !now.Before(r.stopWaitUntil)
 }
 
 // timeToObjective returns the time left until the first event of a call is late. A stream that has begun is late when the
@@ -228,6 +237,19 @@
 	r.refuse(c, contract.Refuse(contract.CrashSuspect, 0, blockedPartDetail, part), now)
 }
 
+// refuseLimited refuses a call because all runners that could take it are at their rate limits. The caller may return when
+// one of them takes the next request, at a random instant after that, so that the callers refused now don't return
+// together.
+func (r *routing) refuseLimited(c *call, retry time.Duration, now clock.Instant) {
+	const detail = "the runners of the model or service are at their rate limits"
+	if c.runs > 0 {
+		r.refuse(c, contract.Failed(contract.Overloaded, detail), now)
+		return
+	}
+	retry = max(retry, minLimitRetryAfter)
+	r.refuse(c, contract.Refuse(contract.Overloaded, retry+time.Duration(r.rand.Int64N(int64(retry))), detail), now)
+}
+
 // priority returns the rank that a call's attempt has at a runner, 0 being the first. An organisation's priority goes
 // before that of the route. Calls that are late in any case come after all others.
 func (c *call) priority(timely bool) int {
@@ -253,7 +275,7 @@
 	route := c.admitted.Route
 	a := attempt{
 		runner: runner.ID, boot: runner.Boot, address: runner.Address, artifact: c.artifact, prefill: choice.Prefill,
-		timely: choice.Timely, limited: runner.RateLimit > 0, expectedLatency: choice.Wait + choice.Prefill + link.FirstTokenTime,
+		timely: choice.Timely, limited: r.table.Limits.Limited(runner), expectedLatency: choice.Wait + choice.Prefill + link.FirstTokenTime,
 		deadline: c.deadline, priority: -1,
 		resumable: route.Kind == contract.Stream && route.Resumable,
 	}
@@ -268,6 +290,7 @@
 	a.silenceTimeout = silenceTimeout(route, a, c.deadline.Sub(now))
 	a.ctx, a.cancel = context.WithCancelCause(c.ctx)
 	c.cancel, r.inFlight[c] = a.cancel, true
+	r.table.Limits.Sent(runner, now)
 	r.table.Link(runner).Sent(c.artifact, choice.Prefill, choice.Timely)
 	r.log.Info("sent", "request", c.request.ID, "route", route.Name, "runner", runner.ID, "model", c.artifact.Model,
 		"adapter", c.artifact.Adapter, "attempt", c.sends, "queued_ms", choice.Wait.Milliseconds(), "timely", choice.Timely,
@@ -290,19 +313,19 @@
 	return 0
 }
 
-// waitForReplica queues a call until a replica is ready or its waitUntil has passed. The planner gets a report at once,
-// since it decides which runner loads the model.
-func (r *routing) waitForReplica(c *call, now clock.Instant) {
+// wait queues a call until a replica is ready, or a runner at its rate limit takes one more request, or its waitUntil has
+// passed. The planner gets a report at once, since it decides which runner loads the model.
+func (r *routing) wait(c *call, limited bool, now clock.Instant) {
 	if c.waiting {
 		return
 	}
 	c.waiting = true
 	r.waiting = append(r.waiting, c)
-	if p := r.towardsPlanner(); p != nil {
+	if p := r.towardsPlanner(); p != nil && c.artifact.Model != "" {
 		p.urgent = true
 	}
 	r.log.Info("waiting", "request", c.request.ID, "model", c.artifact.Model, "adapter", c.artifact.Adapter,
-		"patience_ms", c.waitUntil.Sub(now).Milliseconds(), "planner", r.members.planner)
+		"patience_ms", c.waitUntil.Sub(now).Milliseconds(), "limited", limited, "planner", r.members.planner)
 }
 
 func (r *routing) stopWaiting(c *call) { c.waiting = false }
--- a/node/entry/limits.go
+++ b/node/entry/limits.go
@@ -1,13 +1,83 @@
 package entry
 
-import "github.com/mangopass/mangopass/duty/clock"
+import (
+	"iter"
+
+	"github.com/mangopass/mangopass/duty/clock"
+	"github.com/mangopass/mangopass/fleet/contract"
+	"github.com/mangopass/mangopass/fleet/link"
+	"github.com/mangopass/mangopass/fleet/machine"
+)
 
 // apply records the rate limit that a runner has stated.
-func (m limitStated) apply(r *routing, _ clock.Instant) {
-	runner := r.fleet.Get(m.runner)
-	if runner == nil || runner.Boot != m.boot || runner.RateLimit == m.perSecond {
-		return
+func (m limitStated) apply(r *routing, now clock.Instant) {
+	if runner := r.fleet.Get(m.runner); runner != nil && runner.Boot == m.boot {
+		r.setRateLimit(runner, m.perSecond, now, "", now)
+	}
+}
+
+// setRateLimit records the rate limit that a runner stated at the given instant, as source has reported; an empty source
+// is this VM.
+func (r *routing) setRateLimit(runner *machine.Runner, perSecond float64, at clock.Instant, source string, now clock.Instant) {
+	before := runner.RateLimit
+	if created := r.table.Limits.State(runner, perSecond, at, now); created != nil {
+		for name, p := range r.members.peers {
+			if p.role != link.Unrelated {
+				r.connectQuota(created.Quota, name, p, now)
+			}
+		}
+	}
+	if runner.RateLimit != before {
+		r.log.Info("runner limit", "runner", runner.ID, "per_second", perSecond, "before", before,
+			"stated_ms_ago", now.Sub(at).Milliseconds(), "reported_by", source)
+	}
+}
+
+// sharedQuotas returns all that is counted over all entry VMs: the quotas of the organisations and of limited runners.
+func (r *routing) sharedQuotas() iter.Seq[*contract.Quota] {
+	return func(yield func(*contract.Quota) bool) {
+		for _, q := range r.quotas {
+			if !yield(q) {
+				return
+			}
+		}
+		for _, limit := range r.table.Limits.All() {
+			if !yield(limit.Quota) {
+				return
+			}
+		}
+	}
+}
+
+// limitUsageFor returns the limits of runners of which the running total or the limit itself has changed since it was
+// last reported to a neighbour.
+func (r *routing) limitUsageFor(name string, p *peer, now clock.Instant) []link.LimitUsage {
+	var out []link.LimitUsage
+	for id, limit := range r.table.Limits.All() {
+		usage := limit.Usage(id, name, now)
+		usage.Total = limit.Quota.Offer(name)
+		news := reportedLimit{perSecond: usage.PerSecond, total: usage.Total}
+		if reported, ok := p.reportedLimits[id]; !p.needsAll && ok && reported == news {
+			continue
+		}
+		p.reportedLimits[id] = news
+		out = append(out, usage)
+	}
+	return out
+}
+
+// applyLimitUsage applies what a neighbour reports of limited runners.
+func (r *routing) applyLimitUsage(in link.Report, now clock.Instant) {
+	for _, usage := range in.Limits {
+		runner := r.fleet.Get(usage.Runner)
+		if runner == nil || runner.Boot != usage.Boot {
+			continue
+		}
+		r.setRateLimit(runner, usage.PerSecond, now.Add(-usage.Age), in.Node, now)
+		if limit := r.table.Limits.Get(usage.Runner); limit != nil {
+			limit.ApplyUsage(in.Node, func(q *contract.Quota) {
+				r.applyQuotaUsage(q, in, link.QuotaUsage{Total: usage.Total, Level: usage.Level, Heard: usage.Heard}, now)
+			}, now)
+		}
 	}
-	r.log.Info("runner limit", "runner", m.runner, "per_second", m.perSecond, "before", runner.RateLimit)
-	runner.RateLimit = m.perSecond
 }
--- a/node/entry/members.go
+++ b/node/entry/members.go
@@ -60,6 +60,7 @@
 	knownVersion      uint64        // version of this VM's runner states that it has
 	loadRequests      []machine.LoadRequest
 	unreportedCrashes []uint64                              // request digests of broken runs to report to it
+	reportedLimits    map[machine.RunnerID]reportedLimit    // limits and totals that were last reported to it
 	partNews          partNews                              // to report to it
 	partNewsSent      partNews                              // in the report under way
 	blockedSent       uint64                                // version of the blocked prompt parts that was last sent
@@ -71,6 +72,11 @@
 	membersSent       uint64                                // version of the list of members that was last sent
 }
 
+// reportedLimit is what was reported of a limited runner.
+type reportedLimit struct {
+	perSecond, total float64
+}
+
 // members is what this VM knows of the other entry VMs.
 type members struct {
 	peers     map[string]*peer
@@ -216,6 +222,7 @@
 	p := &peer{
 		nodeEntry: e, outbox: ring.New[link.Report]("report", 1), addedAt: now, heardAt: now,
 		needsAll: true, reportedUsage: make(map[contract.OrganisationName]float64),
+		reportedLimits: make(map[machine.RunnerID]reportedLimit),
 	}
 	r.members.peers[name] = p
 	r.members.startLink(name, p)
--- a/node/entry/reports.go
+++ b/node/entry/reports.go
@@ -38,6 +38,7 @@
 	for _, q := range r.quotas {
 		q.SetShare(share, now)
 	}
+	r.table.Limits.SetMembers(r.members.count(), share, now)
 	if r.towardsPlanner() == nil {
 		r.leader.scheduler.Observe(r.node, r.demand.Take(r.waitingRequests(), now), now)
 	}
@@ -122,6 +123,7 @@
 		report.Feed = r.feedFor(p)
 	}
 	report.Loads, report.Spent = r.loadsFor(name, p), r.quotaUsageFor(name, p, now)
+	report.Limits = r.limitUsageFor(name, p, now)
 	report.Struck, p.unreportedCrashes = p.unreportedCrashes, nil
 	r.addPartNews(report, p, now)
 	if p == r.towardsPlanner() {
@@ -202,6 +204,11 @@
 				q.Confirm(m.node)
 			}
 		}
+		for id := range p.reportedLimits {
+			if limit := r.table.Limits.Get(id); limit != nil {
+				limit.Quota.Confirm(m.node)
+			}
+		}
 	}
 }
 
@@ -261,6 +268,7 @@
 			r.applyQuotaUsage(r.quota(o, now), in, usage, now)
 		}
 	}
+	r.applyLimitUsage(in, now)
 	for _, digest := range in.Struck {
 		r.countCrash(digest, in.Node, now)
 	}
--- a/node/entry/tree.go
+++ b/node/entry/tree.go
@@ -109,6 +109,7 @@
 	p.role, p.roleSince, p.series, p.knownVersion = role, now, r.members.series, 0
 	p.needsAll, p.complete, p.failures = true, false, 0
 	clear(p.reportedUsage)
+	clear(p.reportedLimits)
 	p.membersSent, p.fedRevision, p.feedSent = 0, 0, 0
 	p.partNews, p.partNewsSent = partNews{}, partNews{}
 	if role == link.Unrelated {
@@ -116,7 +117,7 @@
 	} else {
 		r.table.Place(name, role == link.Child)
 	}
-	for _, q := range r.quotas {
+	for q := range r.sharedQuotas() {
 		if role == link.Unrelated {
 			q.Disconnect(name)
 		} else {
