Refuse a request at runners' rate limits once its answer would be late

Change: such a request waits no longer than its latency objective, and is refused at once if no runner can take it by then. The refusal says when to come back. Test: TestCallWaitsForLimitedRunner now covers the objective: two of four waiting calls are sent within it, two refused; TestHopelessCallIsRefusedAtOnce.

--- a/node/entry/admission.go
+++ b/node/entry/admission.go
@@ -191,7 +191,7 @@
 	}
 	_, known := r.model(c)
 	switch {
-	case choice.Limited && (!known && now.Add(choice.Retry).After(c.waitUntil) || r.waitedLongEnough(c, now)):
+	case choice.Limited && (now.Add(choice.Retry).After(c.limitedUntil()) || r.waitedLongEnough(c, now)):
 		r.refuseLimited(c, choice.Retry, now)
 	case !known && !choice.Limited:
 		r.refuseWithCode(c, contract.NoRunner, "no runner of the service is usable", now)
@@ -207,6 +207,12 @@
 	return !now.Before(c.waitUntil) || r.stopping && !now.Before(r.stopWaitUntil)
 }
 
+// limitedUntil returns the instant until which a call may wait for runners at their rate limits. Such runners take fewer
+// requests than come, so a call that is late already would take the place of one that can be in time.
+func (c *call) limitedUntil() clock.Instant {
+	return min(c.waitUntil, c.request.Arrived.Add(c.admitted.Route.Objective))
+}
+
 // timeToObjective returns the time left until the first event of a call is late. A stream that has begun is late when the
 // pause between its events is too long.
 func (c *call) timeToObjective(now clock.Instant) time.Duration {
@@ -313,8 +319,8 @@
 	return 0
 }
 
-// wait queues a call until a replica is ready, or a runner at its rate limit takes one more request, or its waitUntil has
-// passed. The planner gets a report at once, since it decides which runner loads the model.
+// wait queues a call until a replica is ready or a runner at its rate limit takes one more request, or until it may wait no
+// longer. The planner gets a report at once, since it decides which runner loads the model.
 func (r *routing) wait(c *call, limited bool, now clock.Instant) {
 	if c.waiting {
 		return
--- a/node/entry/limits_test.go
+++ b/node/entry/limits_test.go
@@ -147,42 +147,53 @@
 	}
 }
 
-// TestCallWaitsForLimitedRunner guards requests for which all runners are at their rate limits: they wait for their turn
-// like those without a replica, and are refused as not run, with a time to come back, once that is hopeless.
+// TestCallWaitsForLimitedRunner guards requests for which all runners are at their rate limits: they wait for their turn as
+// long as their answers can be in time, and are then refused as not run, with a time to come back.
 func TestCallWaitsForLimitedRunner(t *testing.T) {
 	h := newHarness()
 	h.setUp()
 	h.announceEngines(1)
-	h.apply(limitStated{runner: "e0", perSecond: 1})
-	if _, d := h.admitPrompt(1); d == nil || d.refusal != nil {
-		t.Fatalf("decision %+v within the limit, want an attempt", d)
+	h.apply(limitStated{runner: "e0", perSecond: 4})
+	for i := range uint64(3) {
+		if _, d := h.admitPrompt(i); d == nil || d.refusal != nil {
+			t.Fatalf("decision %+v within the limit, want an attempt", d)
+		}
 	}
-	c, d := h.admitPrompt(2)
+	first, d := h.admitPrompt(4)
 	if d != nil {
 		t.Fatalf("decision %+v beyond the limit, want none yet", d)
 	}
-	hopeless, _ := h.admitPrompt(3)
-	for range 60 {
+	calls := []*call{first}
+	for i := range uint64(3) {
+		c, _ := h.admitPrompt(5 + i)
+		calls = append(calls, c)
+	}
+	sent, refused := 0, 0
+	for range 35 { // 700 ms, over the objective of 600 ms
 		h.now = h.now.Add(20 * time.Millisecond)
 		h.dispatchWaiting(h.now)
+		for _, c := range calls {
+			d := h.decision(c)
+			switch {
+			case d == nil:
+			case d.refusal == nil:
+				sent++
+			default:
+				refused++
+				wantRefusal(t, d, contract.Overloaded, false)
+				if d.refusal.RetryAfter == 0 {
+					t.Error("the refusal has no retry delay")
+				}
+			}
+		}
 	}
-	if d = h.decision(c); d == nil || d.refusal != nil {
-		t.Errorf("decision %+v a second later, want an attempt", d)
-	}
-	h.apply(limitStated{runner: "e0", perSecond: 0.01})
-	h.now = hopeless.waitUntil
-	h.apply(storeChanged{sent: h.now})
-	h.dispatchWaiting(h.now)
-	d = h.decision(hopeless)
-	wantRefusal(t, d, contract.Overloaded, false)
-	if d != nil && d.refusal != nil && d.refusal.RetryAfter == 0 {
-		t.Error("the refusal has no retry delay")
+	if sent != 2 || refused != 2 {
+		t.Errorf("%d calls sent and %d refused within 700 ms at 4 requests a second, want 2 and 2", sent, refused)
 	}
 }
 
-// TestPlainCallIsRefusedAtOnce guards against holding back requests of a plain service for which its runners can't have
-// room in time.
-func TestPlainCallIsRefusedAtOnce(t *testing.T) {
+// TestHopelessCallIsRefusedAtOnce guards against holding back requests for which no runner can have room in time.
+func TestHopelessCallIsRefusedAtOnce(t *testing.T) {
 	h := newHarness()
 	h.setUp("r1")
 	h.apply(limitStated{runner: "r1", perSecond: 0.05})
