Never take a suspension of this process for an outage of the store

Cause: a VM that had been suspended took the time without an answer for an outage, after which a removed entry gets 2.5 s to come back, counted from when its removal was read. Change: only the time of failed calls, at least two in a row, is an outage; the wait ends 2.5 s after the outage. Feeds state when it ended. Ruled out: a late watch or feed (the VM knew of the removal, and waited for the entry).

--- a/fleet/link/changelog.go
+++ b/fleet/link/changelog.go
@@ -18,7 +18,10 @@
 type StoreFeed struct {
 	From, To int64 // the entries are all that changed after From, up to To
 	Entries  []StoreEntry
-	Outage   bool // the store was unavailable shortly before, so entries may be missing because of that
+
+	// SinceOutage is the time from the end of the store's last outage until the arrival of the receiver's last report, like
+	// Age; zero: there was none. Entries that lapsed in an outage come back after it.
+	SinceOutage time.Duration
 
 	// Boot and Answers name the process and the sequence number of the receiver's last report. Age is the time from the
 	// sending of the store call that showed the state at To until the arrival of that report; it is negative if the
--- a/fleet/machine/runner.go
+++ b/fleet/machine/runner.go
@@ -89,7 +89,7 @@
 	authoritative bool          // this process leads the runner and has applied its report in this term
 	confirmedAt   clock.Instant // when the runner's report or its leader last stated the contents; zero: never
 	heartbeat     int64         // of the last entry applied
-	missingSince  clock.Instant // when the entry lapsed during an outage of the store; zero: it has not
+	missingSince  clock.Instant // end of the outage of the store in which the entry lapsed; zero: it has not
 }
 
 // confirmedGrace is how long contents stated by the runner's report or its leader are not replaced by those of a store
@@ -214,23 +214,23 @@
 	f.sort()
 }
 
-// missingGrace is the time after which a runner whose entry lapsed during an outage of the store counts as gone. The
+// MissingGrace is the time after an outage of the store at which a runner whose entry lapsed in it counts as gone. The
 // platform states about two seconds after the store's return as the time for entries to come back.
-const missingGrace = 2500 * time.Millisecond
+const MissingGrace = 2500 * time.Millisecond
 
-// MarkMissing records that a runner's entry lapsed during an outage of the store. The runner stays usable for
-// missingGrace, in which its entry can come back.
-func (f *Fleet) MarkMissing(id RunnerID, now clock.Instant) {
+// MarkMissing records that a runner's entry lapsed during an outage of the store that ended at the given instant. The
+// runner stays usable for MissingGrace from then on, in which its entry can come back.
+func (f *Fleet) MarkMissing(id RunnerID, outageEndedAt clock.Instant) {
 	if r := f.runners[id]; r != nil && r.missingSince == 0 {
-		r.missingSince = now
+		r.missingSince = outageEndedAt
 	}
 }
 
-// Expire removes the runners that have been missing for more than missingGrace and returns their IDs.
+// Expire removes the runners that have been missing for more than MissingGrace and returns their IDs.
 func (f *Fleet) Expire(now clock.Instant) []RunnerID {
 	var gone []RunnerID
 	for _, r := range f.sorted {
-		if r.missingSince != 0 && now.Sub(r.missingSince) > missingGrace {
+		if r.missingSince != 0 && now.Sub(r.missingSince) > MissingGrace {
 			gone = append(gone, r.ID)
 		}
 	}
--- a/fleet/machine/runner_test.go
+++ b/fleet/machine/runner_test.go
@@ -6,7 +6,7 @@
 )
 
 // TestMissingRunnersExpireAfterOutage guards against the loss of live runners after an outage of the store, in which
-// all entries lapse. Runners have missingGrace to announce themselves again; only one that doesn't is removed.
+// all entries lapse. Runners have MissingGrace to announce themselves again; only one that doesn't is removed.
 func TestMissingRunnersExpireAfterOutage(t *testing.T) {
 	sim := newSimulation(2, 4)
 	sim.fleet.MarkMissing("r0", sim.now)
--- a/node/entry/feed.go
+++ b/node/entry/feed.go
@@ -48,8 +48,12 @@
 		return nil
 	}
 	p.feedSent = r.changes.Revision()
+	sinceOutage := time.Duration(0)
+	if r.outageEndedAt != 0 {
+		sinceOutage = p.heardAt.Sub(r.outageEndedAt)
+	}
 	return &link.StoreFeed{
-		From: from, To: r.changes.Revision(), Entries: entries, Outage: r.storeOutage,
+		From: from, To: r.changes.Revision(), Entries: entries, SinceOutage: sinceOutage,
 		Boot: p.Boot, Answers: p.sequence, Age: p.heardAt.Sub(confirmedAt),
 	}
 }
@@ -71,7 +75,10 @@
 		}
 	}
 	change := decodeChange(entries)
-	change.revision, change.outage, change.sent = f.To, f.Outage, proof
+	change.revision, change.sent = f.To, proof
+	if f.SinceOutage != 0 {
+		change.outageEndedAt = min(sentAt.Add(-f.SinceOutage), now)
+	}
 	change.apply(r, now)
 	if left := maxFeedAge - now.Sub(proof); left > 0 && r.feeds != nil {
 		r.feeds.TryPush(storeFed{revision: f.To, rest: min(left, r.members.silenceLimit())})
--- a/node/entry/message.go
+++ b/node/entry/message.go
@@ -128,8 +128,9 @@
 	ownKeys  []ownKeyChange
 	revision int64         // the changes up to it are known now
 	complete bool          // a full listing: what it does not name does not exist
-	outage   bool          // the store was unavailable shortly before, so entries may be missing because of that
 	sent     clock.Instant // when the call that returned them was sent
+
+	outageEndedAt clock.Instant // end of the store's last outage; zero: none. Entries that lapsed in it come back after it
 }
 
 // runnerChange is a runner's new or changed entry, or its removal.
--- a/node/entry/routing.go
+++ b/node/entry/routing.go
@@ -53,7 +53,7 @@
 	freshness        link.Freshness
 	changes          *link.ChangeLog      // of the store, as far as the VMs below need them
 	feeds            *ring.Ring[storeFed] // to the watch
-	storeOutage      bool                 // as in the last change of the store
+	outageEndedAt    clock.Instant        // end of the last outage of the store; zero: none
 	runnersListed    bool                 // the list of runners has been read
 	fleet            *machine.Fleet
 	table            *link.Table
--- a/node/entry/storechanges.go
+++ b/node/entry/storechanges.go
@@ -10,7 +10,7 @@
 
 // apply applies what the watch has read from the platform's store, or a relay has passed on.
 func (m storeChanged) apply(r *routing, now clock.Instant) {
-	r.storeOutage = m.outage
+	r.outageEndedAt = max(r.outageEndedAt, m.outageEndedAt)
 	if m.complete {
 		r.changes.Restart(m.revision)
 	}
@@ -27,12 +27,12 @@
 		if r.isNews(change) {
 			r.changes.Record(link.StoreEntry(change.entry))
 		}
-		r.applyRunner(change, m.outage, now)
+		r.applyRunner(change, now)
 	}
 	if m.complete {
 		for _, runner := range r.fleet.All() {
 			if !present[runner.ID] {
-				r.applyRunner(runnerChange{id: runner.ID, gone: true}, m.outage, now)
+				r.applyRunner(runnerChange{id: runner.ID, gone: true}, now)
 			}
 		}
 		r.runnersListed = true
@@ -83,11 +83,11 @@
 }
 
 // applyRunner applies a runner's entry or its removal. An entry that lapsed in an outage of the store gets time to
-// return.
-func (r *routing) applyRunner(change runnerChange, outage bool, now clock.Instant) {
+// return, counted from the end of the outage: one that is removed later has left.
+func (r *routing) applyRunner(change runnerChange, now clock.Instant) {
 	switch {
-	case change.gone && outage:
-		r.fleet.MarkMissing(change.id, now)
+	case change.gone && r.outageEndedAt != 0 && now.Sub(r.outageEndedAt) <= machine.MissingGrace:
+		r.fleet.MarkMissing(change.id, r.outageEndedAt)
 	case change.gone:
 		if r.fleet.Get(change.id) != nil {
 			r.fleet.Remove(change.id)
--- a/node/entry/watch.go
+++ b/node/entry/watch.go
@@ -8,6 +8,7 @@
 
 	"github.com/mangopass/mangopass/duty/clock"
 	"github.com/mangopass/mangopass/duty/ring"
+	"github.com/mangopass/mangopass/fleet/link"
 	"github.com/mangopass/mangopass/platform"
 )
 
@@ -21,10 +22,8 @@
 	watchPause = 800 * time.Millisecond
 	// retryPause is the time between calls while the store does not answer.
 	retryPause = 250 * time.Millisecond
-	// minOutage is the shortest time without an answer that counts as an outage of the store.
-	minOutage = time.Second
-	// outageRecovery is how long after an outage of the store entries can still be missing because of it.
-	outageRecovery = 2500 * time.Millisecond
+	// maxGap is the longest time without an answer after which the watch goes on from the revision before.
+	maxGap = time.Second
 )
 
 // watch is the duty that reads the platform's store: the manifest, the runners and mangopass's own keys.
@@ -34,10 +33,10 @@
 	feeds   *ring.Ring[storeFed]
 	log     *slog.Logger
 
-	revision      int64         // the next watch continues from here; zero: list everything first
-	answeredAt    clock.Instant // last answer of the store; zero: none
-	outageEndedAt clock.Instant // end of the last outage; zero: none
-	available     bool
+	revision   int64         // the next watch continues from here; zero: list everything first
+	answeredAt clock.Instant // last answer of the store; zero: none
+	outage     link.OutageTracker
+	available  bool
 }
 
 func (w *watch) run(ctx context.Context) {
@@ -67,6 +66,7 @@
 		}
 		if fed := buf[0]; w.revision != 0 && fed.revision >= w.revision {
 			w.revision, w.answeredAt = fed.revision, clock.Now()
+			w.outage.Reset()
 			deadline = time.Now().Add(fed.rest)
 		}
 	}
@@ -86,37 +86,37 @@
 		entries, revision, outcome, err = w.store.Watch(ctx, "", w.revision, watchWait)
 	}
 	if outcome != platform.Applied {
-		w.handleFailure(outcome, err)
+		w.handleFailure(outcome, err, clock.Now().Sub(sent))
 		return outcome == platform.Compacted
 	}
 	now := clock.Now()
-	if w.answeredAt != 0 && now.Sub(w.answeredAt) > minOutage+watchWait+watchPause {
-		w.outageEndedAt = now
-	}
+	w.outage.Answered(now)
 	w.answeredAt = now
 	if !w.available {
 		w.available = true
-		w.log.Info("store available", "revision", revision, "after_outage", w.outageEndedAt == now)
+		w.log.Info("store available", "revision", revision, "after_outage", w.outage.EndedAt() == now)
 	}
 	w.revision = revision
 	change := decodeChange(entries)
 	change.complete, change.sent, change.revision = complete, sent, revision
-	change.outage = w.outageEndedAt != 0 && now.Sub(w.outageEndedAt) < outageRecovery
+	change.outageEndedAt = w.outage.EndedAt()
 	_ = w.routing.Push(ctx, change) // fails only when the process stops
 	return true
 }
 
-func (w *watch) handleFailure(outcome platform.Outcome, err error) {
+// handleFailure takes note of a call that failed after the given time.
+func (w *watch) handleFailure(outcome platform.Outcome, err error, took time.Duration) {
 	if outcome == platform.Compacted {
 		w.log.Info("store history lost", "revision", w.revision)
 		w.revision = 0
 		return
 	}
+	w.outage.Failed(took, watchWait+platform.StoreCallTimeout, retryPause)
 	if w.available {
 		w.available = false
 		w.log.Warn("store unavailable", "outcome", outcome.String(), "error", errorText(err))
 	}
-	if w.answeredAt != 0 && clock.Now().Sub(w.answeredAt) > minOutage {
+	if w.answeredAt != 0 && clock.Now().Sub(w.answeredAt) > maxGap {
 		w.revision = 0 // changes may have been missed: list everything again
 	}
 }
--- a/standin/runner/http.go
+++ b/standin/runner/http.go
@@ -32,9 +32,12 @@
 func (r *Runner) Register(ctx context.Context, storeAddress string, period time.Duration) {
 	client := &http.Client{Timeout: period}
 	duty.Every(ctx, period, func(ctx context.Context) {
-		value, err := json.Marshal(r.entry())
-		if err != nil {
-			panic("runner: encode entry: " + err.Error())
+		var value []byte
+		if entry := r.entry(); entry != nil {
+			var err error
+			if value, err = json.Marshal(entry); err != nil {
+				panic("runner: encode entry: " + err.Error())
+			}
 		}
 		_ = Put(ctx, client, storeAddress, "servers/"+r.ID, value) // the next period writes it again
 	})
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -36,6 +36,7 @@
 	Shed       int  `json:"shed"`        // requests that are refused as not executed
 	Hang       int  `json:"hang"`        // requests that run and are never answered
 	Draining   bool `json:"draining"`    // the runner's entry in the store has the state draining
+	Unlisted   bool `json:"unlisted"`    // the runner's entry in the store is removed; it goes on to serve
 	LateOrders int  `json:"late_orders"` // orders that are carried out a second late and not answered
 
 	// CrashPart is the ID of a prompt part, as callers write it. The runner crashes when it begins to answer a request
@@ -214,10 +215,14 @@
 	return out
 }
 
-// entry returns the value of the runner's key in the store, with a sequence number that grows in each call.
+// entry returns the value of the runner's key in the store, with a sequence number that grows in each call, or nil if the
+// runner is to have none.
 func (r *Runner) entry() map[string]any {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.faults.Unlisted {
+		return nil
+	}
 	r.finishLoad(time.Now())
 	r.heartbeats++
 	state := "ready"
