Keep blocked prompt parts over a start of all entry VMs

Cause: blocked parts were kept in the memory of the VMs alone, so all of them forgot what crashes the engines at the same time. Change: the planner writes the blocked parts to the platform's store, and removes what is no longer blocked; VMs that start read them with their other keys. Test: TestBlockedPartOutlivesEntryVMs failed before (16 runs after the start, none wanted).

--- a/cmd/processtest/prompt_test.go
+++ b/cmd/processtest/prompt_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -19,42 +20,82 @@
 // these requests may reach an engine, whichever entry VM they come to, and requests with the same other parts are served.
 func TestPromptPartThatCrashesEnginesIsRefused(t *testing.T) {
 	d := start(t)
+	sent := crashEngines(t, d)
+	if runs := sendTainted(t, d, sent); runs > 3 {
+		t.Errorf("%d requests with the part reached engines after five crashes, want at most 3", runs)
+	}
+	for i := range 8 {
+		got := call(t, t.Context(), d.Entries[i%2].Callers, request{
+			method: "POST", path: fmt.Sprint("/chat/", i), model: "tulip", id: fmt.Sprint("sound", i), deadlineMs: 3000,
+			header: map[string]string{"X-Mangopass-Prompt-Prefix": fmt.Sprintf("a1:8,c%x:8,d%x:24", i, i)},
+		})
+		if got.status != http.StatusOK {
+			t.Errorf("request without the part: got %+v", got)
+		}
+	}
+}
+
+// TestBlockedPartOutlivesEntryVMs guards the engines against a prompt part that crashed them before all entry VMs were
+// killed and started again.
+func TestBlockedPartOutlivesEntryVMs(t *testing.T) {
+	d := start(t)
+	sent := crashEngines(t, d)
+	time.Sleep(time.Second) // the store has the part
+	for _, e := range d.Entries {
+		e.Signal(syscall.SIGKILL)
+	}
+	for _, e := range d.Entries {
+		if _, err := e.Wait(5 * time.Second); err != nil {
+			t.Fatal(err)
+		}
+		if err := d.Restart(e); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := d.AwaitReady(); err != nil {
+		t.Fatal(err)
+	}
+	if runs := sendTainted(t, d, sent); runs > 0 {
+		t.Errorf("%d requests with the part reached engines after the restart, want none", runs)
+	}
+}
+
+// crashEngines sends different requests with crashPart until engines have crashed five times, and returns their number.
+func crashEngines(t *testing.T, d *deploy.Deployment) int {
+	t.Helper()
 	for _, r := range d.Runners[:2] {
 		if err := d.SetFaults(t.Context(), r.Address, runner.Faults{CrashPart: crashPart}); err != nil {
 			t.Fatal(err)
 		}
 	}
-	tainted := func(i int) response {
-		return call(t, t.Context(), d.Entries[i%2].Callers, request{
-			method: "POST", path: fmt.Sprint("/chat/", i), model: "tulip", id: fmt.Sprint("tainted", i),
-			body: fmt.Sprint("question ", i), deadlineMs: 3000,
-			header: map[string]string{"X-Mangopass-Prompt-Prefix": fmt.Sprintf("a1:8,%s:8,b%x:24", crashPart, i)},
-		})
-	}
 	sent := 0
 	for ; crashesOf(t, d) < 5 && sent < 10; sent++ {
-		tainted(sent)
+		callTainted(t, d, sent)
 		time.Sleep(1200 * time.Millisecond) // until all entry VMs know the engine's new start
 	}
+	return sent
+}
+
+// sendTainted sends eight more requests with crashPart, which must be refused, and returns how often they ran.
+func sendTainted(t *testing.T, d *deploy.Deployment, from int) int {
+	t.Helper()
 	before := taintedRuns(t, d)
-	for range 8 {
-		if got := tainted(sent); got.status != http.StatusServiceUnavailable {
-			t.Errorf("request with the part: status %d, want 503", got.status)
-		}
-		sent++
-	}
-	if runs := taintedRuns(t, d) - before; runs > 3 {
-		t.Errorf("%d requests with the part reached engines after five crashes, want at most 3", runs)
-	}
 	for i := range 8 {
-		got := call(t, t.Context(), d.Entries[i%2].Callers, request{
-			method: "POST", path: fmt.Sprint("/chat/", i), model: "tulip", id: fmt.Sprint("sound", i), deadlineMs: 3000,
-			header: map[string]string{"X-Mangopass-Prompt-Prefix": fmt.Sprintf("a1:8,c%x:8,d%x:24", i, i)},
-		})
-		if got.status != http.StatusOK {
-			t.Errorf("request without the part: got %+v", got)
+		if got := callTainted(t, d, from+i); got.status != http.StatusServiceUnavailable {
+			t.Errorf("request with the part: status %d, want 503", got.status)
 		}
 	}
+	return taintedRuns(t, d) - before
+}
+
+// callTainted sends a request with crashPart that is unlike all others, to the entry VMs in turn.
+func callTainted(t *testing.T, d *deploy.Deployment, i int) response {
+	t.Helper()
+	return call(t, t.Context(), d.Entries[i%2].Callers, request{
+		method: "POST", path: fmt.Sprint("/chat/", i), model: "tulip", id: fmt.Sprint("tainted", i),
+		body: fmt.Sprint("question ", i), deadlineMs: 3000,
+		header: map[string]string{"X-Mangopass-Prompt-Prefix": fmt.Sprintf("a1:8,%s:8,b%x:24", crashPart, i)},
+	})
 }
 
 // crashesOf returns the number of crashes of all runners.
--- a/fleet/link/parts.go
+++ b/fleet/link/parts.go
@@ -260,14 +260,23 @@
 	return sum + weight, several
 }
 
+// blockTime returns how long a part is blocked that has been blocked the given number of times in a row.
+func blockTime(blocks int) time.Duration { return min(minBlockTime<<min(blocks-1, 8), maxBlockTime) }
+
+// StoredBlock returns the block of a part that was found in the platform's store. When it began is unknown: any complete
+// run that is remembered counts as later.
+func StoredBlock(part uint64, blocks int) BlockedPart {
+	return BlockedPart{Part: part, Since: partWindow, Left: blockTime(blocks), Blocks: blocks}
+}
+
 // block blocks the part, twice as long as the last time.
 func (p *partRecord) block(now clock.Instant) {
 	p.blockedSince = now
 	for _, s := range p.strikes {
 		p.blockedSince = min(p.blockedSince, s.crash.at)
 	}
-	p.blockedUntil = now.Add(min(minBlockTime<<min(p.blocks, 8), maxBlockTime))
 	p.blocks++
+	p.blockedUntil = now.Add(blockTime(p.blocks))
 }
 
 func (p *partRecord) blocked(now clock.Instant) bool { return now.Before(p.blockedUntil) }
--- a/node/entry/members.go
+++ b/node/entry/members.go
@@ -167,6 +167,7 @@
 		for _, p := range r.members.peers {
 			p.registered = false
 		}
+		clear(r.storedParts)
 	}
 	present := [machine.Shards]bool{}
 	for _, c := range changes {
@@ -180,6 +181,8 @@
 			r.applyHolder(k, c, now)
 		} else if name, ok := strings.CutPrefix(c.key, prefixNodes); ok {
 			r.applyNode(name, c, now)
+		} else if strings.HasPrefix(c.key, prefixBlocked) {
+			r.applyStoredPart(c, now)
 		}
 	}
 	if !complete {
--- a/node/entry/parts.go
+++ b/node/entry/parts.go
@@ -74,6 +74,7 @@
 		r.log.Warn("prompt part blocked", "part", strconv.FormatUint(part, 16), "requests", len(explained))
 		r.withdraw(part)
 	}
+	r.recordBlockedParts(now)
 }
 
 // partsCompleted counts a complete run with the given parts that this VM saw, or that source reported. It passes on those
@@ -119,10 +120,15 @@
 		r.partsCompleted(in.Sound, in.Node, now)
 	}
 	for _, b := range in.Blocked {
-		if r.promptParts.Adopt(b, now) {
-			r.log.Warn("prompt part blocked", "part", strconv.FormatUint(b.Part, 16), "left_ms", b.Left.Milliseconds(),
-				"reported_by", in.Node)
-			r.withdraw(b.Part)
-		}
+		r.adoptPart(b, in.Node, now)
+	}
+}
+
+// adoptPart takes over a part that another VM blocks; source is that VM, or the store.
+func (r *routing) adoptPart(b link.BlockedPart, source string, now clock.Instant) {
+	if r.promptParts.Adopt(b, now) {
+		r.log.Warn("prompt part blocked", "part", strconv.FormatUint(b.Part, 16), "left_ms", b.Left.Milliseconds(),
+			"reported_by", source)
+		r.withdraw(b.Part)
 	}
 }
--- a/node/entry/parts_test.go
+++ b/node/entry/parts_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/mangopass/mangopass/duty/ring"
 	"github.com/mangopass/mangopass/fleet/contract"
 	"github.com/mangopass/mangopass/fleet/link"
 	"github.com/mangopass/mangopass/fleet/machine"
@@ -180,3 +181,49 @@
 		}
 	}
 }
+
+// TestBlockedPartsAreStored guards against a part that crashes runners again after all VMs have started anew, and against
+// keys that stay in the store when their parts are no longer blocked, or that nobody can read.
+func TestBlockedPartsAreStored(t *testing.T) {
+	h := newHarness()
+	h.partWrites = ring.New[partWrite]("parts", 8)
+	h.setUp()
+	h.announceEngines(9)
+	h.crashRunners(3)
+	write, err := h.partWrites.Pop(t.Context())
+	if err != nil || write != (partWrite{part: crashingPart, blocks: 1}) {
+		t.Fatalf("write %+v, error %v; want part %d blocked for the first time", write, err, crashingPart)
+	}
+	stored := ownKeyChange{key: prefixBlocked + "2", value: marshal(partEntry{Blocks: 1}), revision: 7}
+	h.apply(storeChanged{sent: h.now, ownKeys: []ownKeyChange{stored}})
+	h.now = h.now.Add(2 * partWritePeriod)
+	h.apply(storeChanged{sent: h.now})
+	h.onTick(h.now)
+	if h.partWrites.Len() != 0 {
+		t.Error("the part is written again although it is in the store")
+	}
+
+	fresh := newHarness()
+	fresh.partWrites = ring.New[partWrite]("parts", 8)
+	fresh.setUp()
+	fresh.apply(storeChanged{sent: fresh.now, ownKeys: []ownKeyChange{
+		stored, {key: prefixBlocked + "3", value: []byte("{"), revision: 8}, {key: prefixBlocked + "x", revision: 9},
+	}})
+	fresh.announceEngines(9)
+	_, d := fresh.admitPrompt(200, sharedPart, crashingPart)
+	wantRefusal(t, d, contract.CrashSuspect, false)
+	fresh.onTick(fresh.now)
+	if write, err := fresh.partWrites.Pop(t.Context()); err != nil || write != (partWrite{part: 3, revision: 8}) {
+		t.Errorf("write %+v, error %v; want the removal of the malformed key", write, err)
+	}
+	fresh.partsCompleted([]uint64{crashingPart}, "", fresh.now)
+	fresh.onTick(fresh.now)
+	removed := false
+	for fresh.partWrites.Len() > 0 {
+		write, err = fresh.partWrites.Pop(t.Context())
+		removed = removed || err == nil && write == (partWrite{part: crashingPart, revision: 7})
+	}
+	if !removed {
+		t.Error("the part that has proved sound is not removed from the store")
+	}
+}
--- a/node/entry/routing.go
+++ b/node/entry/routing.go
@@ -61,6 +61,10 @@
 	retryBudgets     map[contract.ServiceName]*link.RetryBudget
 	crashes          *link.CrashTracker
 	promptParts      *link.PartTracker
+	storedParts      map[uint64]storedPart // blocked parts in the platform's store
+	partWrites       *ring.Ring[partWrite] // to the part keeper
+	partsRecordedAt  clock.Instant         // last comparison of the blocked parts with those in the store
+	partsRecorded    uint64                // version of the blocked parts at that time
 	crashesExpiredAt clock.Instant
 	inFlight         map[*call]bool // with an attempt whose answer has not begun
 	waiting          []*call
@@ -80,7 +84,8 @@
 		quotas:       make(map[contract.OrganisationName]*contract.Quota),
 		retryBudgets: make(map[contract.ServiceName]*link.RetryBudget),
 		crashes:      link.NewCrashTracker(), promptParts: link.NewPartTracker(), inFlight: make(map[*call]bool),
-		demand: machine.NewDemandBook(),
+		storedParts: make(map[uint64]storedPart),
+		demand:      machine.NewDemandBook(),
 	}
 	r.leader.scheduler = machine.NewScheduler(r.fleet, r.table, r)
 	for k := range r.leader.shards {
