--- a/fleet/link/parts.go
+++ b/fleet/link/parts.go
@@ -12,30 +12,30 @@
 // Limits for prompt parts that crash runners.
 const (
 	// BeginTime is the time after the head of an answer within which a part that crashes runners does so. A run that
-	// breaks off later was taken along by another one.
+	// breaks off later is not the cause.
 	BeginTime = 500 * time.Millisecond
-	// strikeLimit is the sum of a part's strikes from which it is blocked.
-	strikeLimit = 15
-	// answeredWeight is the weight of a strike if the runner went down within BeginTime of the answer's head.
-	answeredWeight = 5
-	// unansweredWeight is the weight of a strike of a run without a head. It may have been waiting at the runner, but if
-	// runners go down before they send a head, the fifth crash must be enough.
-	unansweredWeight = 3
-	// settleTime is the time from a part's last necessary strike until it is blocked, in which the other VMs report their
+	// blockScore is the sum of the scores of a part's crashes from which it is blocked.
+	blockScore = 15
+	// answeredScore is the score of a crash within BeginTime of the head of an answer to a request with the part.
+	answeredScore = 5
+	// unansweredScore is the score of a crash before such a head. The request may only have been waiting at the runner, but
+	// if runners go down before they send a head, the fifth crash must be enough.
+	unansweredScore = 3
+	// settleTime is the time from the crash with which a part reaches blockScore until it is blocked, in which the other VMs report their
 	// runs of the same crashes, and a complete run can still clear the part.
 	settleTime = 100 * time.Millisecond
-	// strikeSpacing is the time within which crashes count as one. Runners that go down together, as in a loss of power,
+	// crashSpacing is the time within which crashes count as one. Runners that go down together, as in a loss of power,
 	// have no part in common that explains it.
-	strikeSpacing = 100 * time.Millisecond
+	crashSpacing = 100 * time.Millisecond
 	// sameCrashTime is the time within which runs that break off at one start of a runner belong to the same crash. A
 	// runner takes longer than that to start again, and a starved VM may see its runs break off that much later.
 	sameCrashTime = time.Second
-	// partWindow is how long strikes and complete runs are remembered.
+	// partWindow is how long crashes and complete runs are remembered.
 	partWindow = time.Minute
 	// minBlockTime is how long a part is blocked at first. Each crash after that doubles it, up to maxBlockTime.
 	minBlockTime = 5 * time.Minute
 	maxBlockTime = time.Hour
-	// maxTrackedParts limits the parts with strikes. Further ones are not counted.
+	// maxTrackedParts limits the parts with crashes. Further ones are not counted.
 	maxTrackedParts = 4096
 )
 
@@ -52,7 +52,7 @@
 // BlockedPart is a prompt part whose requests are refused.
 type BlockedPart struct {
 	Part   uint64
-	Since  time.Duration // time since its first strike
+	Since  time.Duration // time since its first crash
 	Left   time.Duration // time until it is tried again
 	Blocks int           // times that it was blocked in a row
 }
@@ -71,15 +71,15 @@
 }
 
 // PartTracker finds prompt parts that crash each runner that begins to answer a request with them, whatever else the
-// request holds. A part gets a strike for each crash in which a run with it broke off, and is blocked at strikeLimit. A
-// complete run with the part proves it sound and clears its strikes: a part that sound requests share is cleared again
-// and again, while one that crashes runners never is. Of several parts at the limit the one with most strikes is blocked.
-// The crashes that it explains are then no strikes for the parts of the runs that were taken along.
+// request holds. A part scores for each crash in which a run with it broke off, and is blocked at blockScore. A complete
+// run with the part proves it sound and clears its score: a part that sound requests share is cleared again and again,
+// while one that crashes runners never is. Of several parts over the limit the one with the highest score is blocked. Its
+// crashes are then explained, and no longer count for the parts of other runs that they broke off.
 type PartTracker struct {
 	parts     map[uint64]*partRecord
 	crashes   map[runnerStart]*crash
 	completed map[uint64]clock.Instant // last complete run with a part
-	reviewAt  clock.Instant            // when the next part may have to be blocked; zero: none is at the limit
+	reviewAt  clock.Instant            // when the next part may have to be blocked; zero: none is over the limit
 	version   uint64                   // changes with the blocked parts
 }
 
@@ -96,23 +96,23 @@
 	explained bool     // a blocked part was among them
 }
 
-// partRecord holds the strikes of one part, and for how long it is blocked.
+// partRecord holds the crashes of one part, and for how long it is blocked.
 type partRecord struct {
-	position     int      // in the prompt, from the start
-	strikes      []strike // in the order of time, one for each crash
+	position     int         // in the prompt, from the start
+	crashes      []partCrash // in the order of time
 	blockedSince clock.Instant
 	blockedUntil clock.Instant // zero: never blocked
 	blocks       int
 }
 
-// strike is a crash in which a run with the part broke off.
-type strike struct {
+// partCrash is a crash in which a run with the part broke off.
+type partCrash struct {
 	crash  *crash
-	weight int
+	score  int
 	digest uint64 // of the request
 }
 
-// NewPartTracker returns a tracker without strikes.
+// NewPartTracker returns a tracker without crashes.
 func NewPartTracker() *PartTracker {
 	return &PartTracker{
 		parts: make(map[uint64]*partRecord), crashes: make(map[runnerStart]*crash),
@@ -129,16 +129,16 @@
 			continue
 		}
 		p.position = i
-		p.strike(c, run)
+		p.addCrash(c, run)
 		c.explained = c.explained || p.blocked(now)
-		if t.reviewAt == 0 && p.guilty() {
+		if t.reviewAt == 0 && p.overLimit() {
 			t.reviewAt = now.Add(settleTime)
 		}
 	}
 	return c.explained
 }
 
-// Review blocks the parts that are at the limit, if it is time. It returns them, and the digests of the requests whose
+// Review blocks the parts that are over the limit, if it is time. It returns them, and the digests of the requests whose
 // broken runs they explain.
 func (t *PartTracker) Review(now clock.Instant) (blocked, explained []uint64) {
 	if t.reviewAt == 0 || now.Before(t.reviewAt) {
@@ -146,7 +146,7 @@
 	}
 	t.reviewAt = 0
 	for {
-		part, p := t.mostGuilty(now)
+		part, p := t.highestScore(now)
 		if p == nil {
 			return blocked, explained
 		}
@@ -157,24 +157,24 @@
 	}
 }
 
-// mostGuilty returns the part at the limit that has most strikes, or nil if none is at the limit. Of parts with the same
-// strikes it is the one furthest back in the prompt, which is in fewer requests.
-func (t *PartTracker) mostGuilty(now clock.Instant) (uint64, *partRecord) {
+// highestScore returns the part over the limit that has the highest score, or nil if none is over it. Of parts with the
+// same score it is the one furthest back in the prompt, which is in fewer requests.
+func (t *PartTracker) highestScore(now clock.Instant) (uint64, *partRecord) {
 	var part uint64
 	var most *partRecord
 	for id, p := range t.parts {
-		if p.blocked(now) || !p.guilty() {
+		if p.blocked(now) || !p.overLimit() {
 			continue
 		}
-		if most == nil || p.moreGuilty(most) || !most.moreGuilty(p) && id < part {
+		if most == nil || p.scoresHigher(most) || !most.scoresHigher(p) && id < part {
 			part, most = id, p
 		}
 	}
 	return part, most
 }
 
-// moreGuilty reports whether the part is to be blocked before the other one.
-func (p *partRecord) moreGuilty(other *partRecord) bool {
+// scoresHigher reports whether the part is to be blocked before the other one.
+func (p *partRecord) scoresHigher(other *partRecord) bool {
 	sum, _ := p.sum()
 	otherSum, _ := other.sum()
 	return sum > otherSum || sum == otherSum && p.position > other.position
@@ -207,44 +207,44 @@
 	return p
 }
 
-// strike adds a crash, or raises the weight of the one that is there.
-func (p *partRecord) strike(c *crash, run BrokenRun) {
-	weight := unansweredWeight
+// addCrash adds a crash, or raises the score of the one that is there.
+func (p *partRecord) addCrash(c *crash, run BrokenRun) {
+	score := unansweredScore
 	if run.Answered {
-		weight = answeredWeight
+		score = answeredScore
 	}
-	for i := range p.strikes {
-		if p.strikes[i].crash == c {
-			p.strikes[i].weight = max(p.strikes[i].weight, weight)
+	for i := range p.crashes {
+		if p.crashes[i].crash == c {
+			p.crashes[i].score = max(p.crashes[i].score, score)
 			return
 		}
 	}
-	p.strikes = append(p.strikes, strike{crash: c, weight: weight, digest: run.Digest})
+	p.crashes = append(p.crashes, partCrash{crash: c, score: score, digest: run.Digest})
 }
 
-// expire drops the strikes that are older than partWindow.
+// expire drops the crashes that are older than partWindow.
 func (p *partRecord) expire(now clock.Instant) {
-	p.strikes = slices.DeleteFunc(p.strikes, func(s strike) bool { return now.Sub(s.crash.at) > partWindow })
+	p.crashes = slices.DeleteFunc(p.crashes, func(s partCrash) bool { return now.Sub(s.crash.at) > partWindow })
 }
 
-// guilty reports whether the strikes are enough to block the part. They must come from several requests, as one that
-// crashes runners by itself is known by its digest. Once the part has been blocked, one strike is enough.
-func (p *partRecord) guilty() bool {
+// overLimit reports whether the part is to be blocked. Its crashes must come from several requests, as one that crashes
+// runners by itself is known by its digest. Once the part has been blocked, one crash is enough.
+func (p *partRecord) overLimit() bool {
 	if p.blocks > 0 {
-		return slices.ContainsFunc(p.strikes, func(s strike) bool {
+		return slices.ContainsFunc(p.crashes, func(s partCrash) bool {
 			return !s.crash.explained && !s.crash.at.Before(p.blockedUntil)
 		})
 	}
 	sum, several := p.sum()
-	return several && sum >= strikeLimit
+	return several && sum >= blockScore
 }
 
-// sum returns the sum of the strikes that are not explained, and whether they come from several requests.
+// sum returns the score of the crashes that are not explained, and whether they come from several requests.
 func (p *partRecord) sum() (sum int, several bool) {
-	var first, group *strike // the first one, and the first of those that count as one crash
-	weight := 0              // of the group
-	for i := range p.strikes {
-		s := &p.strikes[i]
+	var first, group *partCrash // the first one, and the first of those that count as one crash
+	score := 0                  // of the group
+	for i := range p.crashes {
+		s := &p.crashes[i]
 		if s.crash.explained {
 			continue
 		}
@@ -252,12 +252,12 @@
 			first = s
 		}
 		several = several || s.digest != first.digest
-		if group == nil || s.crash.at.Sub(group.crash.at) >= strikeSpacing {
-			sum, weight, group = sum+weight, 0, s
+		if group == nil || s.crash.at.Sub(group.crash.at) >= crashSpacing {
+			sum, score, group = sum+score, 0, s
 		}
-		weight = max(weight, s.weight)
+		score = max(score, s.score)
 	}
-	return sum + weight, several
+	return sum + score, several
 }
 
 // blockTime returns how long a part is blocked that has been blocked the given number of times in a row.
@@ -272,7 +272,7 @@
 // block blocks the part, twice as long as the last time.
 func (p *partRecord) block(now clock.Instant) {
 	p.blockedSince = now
-	for _, s := range p.strikes {
+	for _, s := range p.crashes {
 		p.blockedSince = min(p.blockedSince, s.crash.at)
 	}
 	p.blocks++
@@ -285,7 +285,7 @@
 // that were not before.
 func (p *partRecord) explain() []uint64 {
 	var digests []uint64
-	for _, s := range p.strikes {
+	for _, s := range p.crashes {
 		if !s.crash.explained {
 			s.crash.explained = true
 			digests = append(digests, s.crash.digests...)
@@ -304,8 +304,8 @@
 	return 0, false
 }
 
-// Completed counts a complete run with the given parts, and returns those of them that had strikes. A run that was sent
-// before a peer's strike counts too: no run with a part that crashes runners is ever completed.
+// Completed counts a complete run with the given parts, and returns those of them that had crashes. A run that was sent
+// before a crash that a peer reports counts too: no run with a part that crashes runners is ever completed.
 func (t *PartTracker) Completed(parts []uint64, now clock.Instant) []uint64 {
 	var cleared []uint64
 	for _, part := range parts {
@@ -322,7 +322,7 @@
 }
 
 // Adopt takes over a part that a peer blocks, and reports whether it was not blocked here. A part with a complete run
-// since its first strike is not taken over.
+// since its first crash is not taken over.
 func (t *PartTracker) Adopt(b BlockedPart, now clock.Instant) bool {
 	if at, ok := t.completed[b.Part]; ok && now.Sub(at) <= b.Since {
 		return false
@@ -359,7 +359,7 @@
 func (t *PartTracker) Expire(now clock.Instant) {
 	for part, p := range t.parts {
 		p.expire(now)
-		if len(p.strikes) == 0 && now.Sub(p.blockedUntil) > p.blockedUntil.Sub(p.blockedSince) {
+		if len(p.crashes) == 0 && now.Sub(p.blockedUntil) > p.blockedUntil.Sub(p.blockedSince) {
 			delete(t.parts, part)
 		}
 	}
--- a/fleet/link/parts_test.go
+++ b/fleet/link/parts_test.go
@@ -18,7 +18,7 @@
 	crashingPart = 2 // crashes each runner
 )
 
-// brokenRun returns a run of request i with the given parts that the n-th crash of the test took along.
+// brokenRun returns a run of request i with the given parts that the n-th crash of the test broke off.
 func brokenRun(n, i int, answered bool, parts ...uint64) BrokenRun {
 	return BrokenRun{
 		Digest: uint64(i), Parts: parts, Runner: machine.RunnerID(fmt.Sprint("r", n)), Boot: int64(n), Answered: answered,
@@ -32,7 +32,7 @@
 	for answered, enough := range map[bool]int{true: 3, false: 5} {
 		tracker, now := NewPartTracker(), start
 		for n := 1; n <= enough; n++ {
-			now = now.Add(strikeSpacing)
+			now = now.Add(crashSpacing)
 			tracker.Add(brokenRun(n, 100+n, false, sharedPart, uint64(10+n)), now)
 			tracker.Add(brokenRun(n, n, answered, sharedPart, crashingPart), now)
 			tracker.Review(now.Add(settleTime))
@@ -83,7 +83,7 @@
 	}
 }
 
-// TestExplainedCrashesAreForgotten guards against refusing requests that engines took along when they went down. Once the
+// TestExplainedCrashesAreForgotten guards against refusing requests whose runs were broken off by the crashes of others. Once the
 // part that crashes them is known, neither these requests nor their parts are suspects, however often they were hit, and
 // also if they are reported later.
 func TestExplainedCrashesAreForgotten(t *testing.T) {
@@ -170,20 +170,20 @@
 }
 
 // TestCrashingPartIsFound is a stateful test against a simple model of a fleet: one part crashes each runner that answers
-// a request with it, runs of sound requests are taken along, and runs are reported in any order. The part must be blocked
+// a request with it, the crashes break off runs of sound requests too, and runs are reported in any order. The part must be blocked
 // within five crashes, and no other part that complete runs share.
 func TestCrashingPartIsFound(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		tracker, now := NewPartTracker(), start
 		crashes, request := 0, 0
 		for crashes < 5 {
-			now = now.Add(strikeSpacing + time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms"))*time.Millisecond)
+			now = now.Add(crashSpacing + time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms"))*time.Millisecond)
 			crashes++
 			request++
 			runs := []BrokenRun{
 				brokenRun(crashes, request, rapid.Bool().Draw(t, "answered"), sharedPart, crashingPart),
 			}
-			for range rapid.IntRange(0, 8).Draw(t, "taken along") {
+			for range rapid.IntRange(0, 8).Draw(t, "others") {
 				request++
 				runs = append(runs, brokenRun(crashes, request, rapid.Bool().Draw(t, "answered"), sharedPart,
 					uint64(100+rapid.IntRange(0, 50).Draw(t, "session"))))
@@ -198,7 +198,7 @@
 			}
 			tracker.Completed(sessions, now.Add(settleTime))
 			tracker.Review(now.Add(settleTime + 50*time.Millisecond))
-			if part, blocked := tracker.Blocked(sessions, now.Add(strikeSpacing)); blocked {
+			if part, blocked := tracker.Blocked(sessions, now.Add(crashSpacing)); blocked {
 				t.Fatalf("part %d of sound requests is blocked", part)
 			}
 		}
@@ -216,7 +216,7 @@
 		tracker.Completed([]uint64{uint64(1e6 + i)}, now)
 	}
 	if len(tracker.parts) > maxTrackedParts {
-		t.Errorf("%d parts with strikes, want at most %d", len(tracker.parts), maxTrackedParts)
+		t.Errorf("%d parts with crashes, want at most %d", len(tracker.parts), maxTrackedParts)
 	}
 	tracker.Expire(now.Add(partWindow + time.Second))
 	if n := len(tracker.parts) + len(tracker.crashes) + len(tracker.completed); n != 0 {
--- a/fleet/link/report.go
+++ b/fleet/link/report.go
@@ -44,7 +44,7 @@
 	Asked      []machine.DemandReport // requests since the last report, and those waiting now; only towards the planner
 	Struck     []uint64               // digests of requests with a broken run since the last report, once for each run
 	Broken     []BrokenRun            // runs that broke off since the last report, for the parts of their prompts
-	Sound      []uint64               // prompt parts with strikes that a complete run has proved sound since
+	Sound      []uint64               // prompt parts with crashes that a complete run has proved sound since
 	Blocked    []BlockedPart          // all prompt parts that the sender blocks, when they have changed
 
 	StoreRevision int64      // revision of the platform's store up to which the sender knows the changes
--- a/fleet/link/table.go
+++ b/fleet/link/table.go
@@ -71,8 +71,8 @@
 // NewTable returns an empty table.
 func NewTable(zones zone.Map, r *rand.Rand) *Table {
 	return &Table{
-		ledger: newLedger(), Limits: newRateLimits(r), links: make(map[machine.RunnerID]*RunnerLink), peers: make(map[string]*reportedLoads),
-		zones: zones, rand: r,
+		ledger: newLedger(), Limits: newRateLimits(r), links: make(map[machine.RunnerID]*RunnerLink),
+		peers: make(map[string]*reportedLoads), zones: zones, rand: r,
 	}
 }
 
--- a/node/entry/admission.go
+++ b/node/entry/admission.go
@@ -21,8 +21,6 @@
 	manifestRetryAfter = 500 * time.Millisecond
 	runnerRetryAfter   = 150 * time.Millisecond
 	replicaRetryAfter  = time.Second
-	// minLimitRetryAfter is the least retry delay sent to a caller if all runners are at their rate limits.
-	minLimitRetryAfter = 100 * time.Millisecond
 	// minAttemptTime is the shortest time before the deadline at which a call is still sent to a runner.
 	minAttemptTime = 15 * time.Millisecond
 	// maxSends limits the attempts of one call, including those that the runner did not execute.
@@ -43,9 +41,6 @@
 	quotaOverRateShare = 0.8
 )
 
-// blockedPartDetail is the detail of a refusal for a part of the prompt.
-const blockedPartDetail = "part %x of the prompt has crashed several runners"
-
 // apply admits or refuses a new call and dispatches it.
 func (m callArrived) apply(r *routing, now clock.Instant) {
 	c := m.call
@@ -207,12 +202,6 @@
 	return !now.Before(c.waitUntil) || r.stopping && !now.Before(r.stopWaitUntil)
 }
 
-// limitedUntil returns the instant until which a call may wait for runners at their rate limits. Such runners take fewer
-// requests than come, so a call that is late already would take the place of one that can be in time.
-func (c *call) limitedUntil() clock.Instant {
-	return min(c.waitUntil, c.request.Arrived.Add(c.admitted.Route.Objective))
-}
-
 // timeToObjective returns the time left until the first event of a call is late. A stream that has begun is late when the
 // pause between its events is too long.
 func (c *call) timeToObjective(now clock.Instant) time.Duration {
@@ -234,28 +223,6 @@
 	r.refuse(c, contract.Refuse(contract.Overloaded, retryAfter, "the queue is longer than the time left"), now)
 }
 
-// refuseBlocked refuses a call that was admitted before a part of its prompt was blocked.
-func (r *routing) refuseBlocked(c *call, part uint64, now clock.Instant) {
-	if c.runs > 0 {
-		r.refuse(c, contract.Failed(contract.CrashSuspect, blockedPartDetail, part), now)
-		return
-	}
-	r.refuse(c, contract.Refuse(contract.CrashSuspect, 0, blockedPartDetail, part), now)
-}
-
-// refuseLimited refuses a call because all runners that could take it are at their rate limits. The caller may return when
-// one of them takes the next request, at a random instant after that, so that the callers refused now don't return
-// together.
-func (r *routing) refuseLimited(c *call, retry time.Duration, now clock.Instant) {
-	const detail = "the runners of the model or service are at their rate limits"
-	if c.runs > 0 {
-		r.refuse(c, contract.Failed(contract.Overloaded, detail), now)
-		return
-	}
-	retry = max(retry, minLimitRetryAfter)
-	r.refuse(c, contract.Refuse(contract.Overloaded, retry+time.Duration(r.rand.Int64N(int64(retry))), detail), now)
-}
-
 // priority returns the rank that a call's attempt has at a runner, 0 being the first. An organisation's priority goes
 // before that of the route. Calls that are late in any case come after all others.
 func (c *call) priority(timely bool) int {
--- a/node/entry/attempts.go
+++ b/node/entry/attempts.go
@@ -37,7 +37,7 @@
 	c := m.call
 	c.streaming = c.streaming || m.streaming
 	delete(r.inFlight, c)
-	r.judgeParts(m, now)
+	r.recordPartOutcome(m, now)
 	if l := r.linkOf(m.attempt); l != nil {
 		if !m.started {
 			l.Started(m.attempt.artifact, m.attempt.prefill, m.attempt.timely, 0, 0)
--- a/node/entry/limits.go
+++ b/node/entry/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"iter"
+	"time"
 
 	"github.com/mangopass/mangopass/duty/clock"
 	"github.com/mangopass/mangopass/fleet/contract"
@@ -9,6 +10,9 @@
 	"github.com/mangopass/mangopass/fleet/machine"
 )
 
+// minLimitRetryAfter is the least retry delay sent to a caller if all runners are at their rate limits.
+const minLimitRetryAfter = 100 * time.Millisecond
+
 // apply records the rate limit that a runner has stated.
 func (m limitStated) apply(r *routing, now clock.Instant) {
 	if runner := r.fleet.Get(m.runner); runner != nil && runner.Boot == m.boot {
@@ -56,11 +60,11 @@
 	for id, limit := range r.table.Limits.All() {
 		usage := limit.Usage(id, name, now)
 		usage.Total = limit.Quota.Offer(name)
-		news := reportedLimit{perSecond: usage.PerSecond, total: usage.Total}
-		if reported, ok := p.reportedLimits[id]; !p.needsAll && ok && reported == news {
+		current := reportedLimit{perSecond: usage.PerSecond, total: usage.Total}
+		if reported, ok := p.reportedLimits[id]; !p.needsAll && ok && reported == current {
 			continue
 		}
-		p.reportedLimits[id] = news
+		p.reportedLimits[id] = current
 		out = append(out, usage)
 	}
 	return out
@@ -81,3 +85,22 @@
 		}
 	}
 }
+
+// limitedUntil returns the instant until which a call may wait for runners at their rate limits. Such runners take fewer
+// requests than come, so a call that is late already would take the place of one that can be in time.
+func (c *call) limitedUntil() clock.Instant {
+	return min(c.waitUntil, c.request.Arrived.Add(c.admitted.Route.Objective))
+}
+
+// refuseLimited refuses a call because all runners that could take it are at their rate limits. The caller may return when
+// one of them takes the next request, at a random instant after that, so that the callers refused now don't return
+// together.
+func (r *routing) refuseLimited(c *call, retry time.Duration, now clock.Instant) {
+	const detail = "the runners of the model or service are at their rate limits"
+	if c.runs > 0 {
+		r.refuse(c, contract.Failed(contract.Overloaded, detail), now)
+		return
+	}
+	retry = max(retry, minLimitRetryAfter)
+	r.refuse(c, contract.Refuse(contract.Overloaded, retry+time.Duration(r.rand.Int64N(int64(retry))), detail), now)
+}
--- a/node/entry/members.go
+++ b/node/entry/members.go
@@ -61,8 +61,8 @@
 	loadRequests      []machine.LoadRequest
 	unreportedCrashes []uint64                              // request digests of broken runs to report to it
 	reportedLimits    map[machine.RunnerID]reportedLimit    // limits and totals that were last reported to it
-	partNews          partNews                              // to report to it
-	partNewsSent      partNews                              // in the report under way
+	partUpdates       partUpdates                           // to report to it
+	partUpdatesSent   partUpdates                           // in the report under way
 	blockedSent       uint64                                // version of the blocked prompt parts that was last sent
 	needsAll          bool                                  // the next report holds all loads and totals
 	allSentAt         clock.Instant                         // time when all were last sent to it
--- a/node/entry/parts.go
+++ b/node/entry/parts.go
@@ -5,15 +5,19 @@
 	"strconv"
 
 	"github.com/mangopass/mangopass/duty/clock"
+	"github.com/mangopass/mangopass/fleet/contract"
 	"github.com/mangopass/mangopass/fleet/link"
 )
 
-// maxPartNews limits the broken runs, and the sound parts, that wait to be reported to a peer. The oldest go first.
-const maxPartNews = 1024
+// maxPartUpdates limits the broken runs, and the sound parts, that wait to be reported to a peer. The oldest go first.
+const maxPartUpdates = 1024
 
-// partNews is what this VM has learned of prompt parts and not yet reported to a peer. It does no harm to report it
+// blockedPartDetail is the detail of a refusal for a part of the prompt.
+const blockedPartDetail = "part %x of the prompt has crashed several runners"
+
+// partUpdates is what this VM has learned of prompt parts and not yet reported to a peer. It does no harm to report it
 // again, so it is kept until the peer has confirmed the report.
-type partNews struct {
+type partUpdates struct {
 	broken []brokenRun
 	sound  []uint64
 }
@@ -24,16 +28,16 @@
 	at clock.Instant
 }
 
-func (n *partNews) add(more partNews) {
+func (n *partUpdates) add(more partUpdates) {
 	n.broken = lastOf(append(n.broken, more.broken...))
 	n.sound = lastOf(append(n.sound, more.sound...))
 }
 
-func lastOf[T any](list []T) []T { return list[max(0, len(list)-maxPartNews):] }
+func lastOf[T any](list []T) []T { return list[max(0, len(list)-maxPartUpdates):] }
 
-// judgeParts draws conclusions from the end of an attempt on the parts of its prompt: a complete run proves them sound,
+// recordPartOutcome draws conclusions from the end of an attempt on the parts of its prompt: a complete run proves them sound,
 // and one that broke off with its connection makes them suspects.
-func (r *routing) judgeParts(m attemptEnded, now clock.Instant) {
+func (r *routing) recordPartOutcome(m attemptEnded, now clock.Instant) {
 	parts := m.call.parts
 	if len(parts) == 0 || m.attempt.artifact.Model == "" {
 		return
@@ -60,11 +64,12 @@
 	if r.promptParts.Add(run, now) {
 		r.crashes.Forget(run.Digest)
 	}
-	news := partNews{broken: []brokenRun{{run, now.Add(-run.Age)}}}
-	r.passOn(source, func(p *peer) { p.partNews.add(news) })
+	update := partUpdates{broken: []brokenRun{{run, now.Add(-run.Age)}}}
+	r.passOn(source, func(p *peer) { p.partUpdates.add(update) })
 }
 
-// reviewParts blocks prompt parts that have crashed runners. The requests that were taken along are no crash suspects.
+// reviewParts blocks prompt parts that have crashed runners. Other requests that these crashes broke off are no
+// crash suspects.
 func (r *routing) reviewParts(now clock.Instant) {
 	blocked, explained := r.promptParts.Review(now)
 	for _, digest := range explained {
@@ -78,11 +83,11 @@
 }
 
 // partsCompleted counts a complete run with the given parts that this VM saw, or that source reported. It passes on those
-// that had strikes.
+// that had crashes.
 func (r *routing) partsCompleted(parts []uint64, source string, now clock.Instant) {
 	sound := r.promptParts.Completed(parts, now)
 	if len(sound) > 0 {
-		r.passOn(source, func(p *peer) { p.partNews.add(partNews{sound: sound}) })
+		r.passOn(source, func(p *peer) { p.partUpdates.add(partUpdates{sound: sound}) })
 	}
 }
 
@@ -98,21 +103,21 @@
 	}
 }
 
-// addPartNews adds to a report what a neighbour does not know yet of prompt parts.
-func (r *routing) addPartNews(report *link.Report, p *peer, now clock.Instant) {
-	for _, run := range p.partNews.broken {
+// addPartUpdates adds to a report what a neighbour does not know yet of prompt parts.
+func (r *routing) addPartUpdates(report *link.Report, p *peer, now clock.Instant) {
+	for _, run := range p.partUpdates.broken {
 		run.Age = now.Sub(run.at)
 		report.Broken = append(report.Broken, run.BrokenRun)
 	}
-	report.Sound = p.partNews.sound
-	p.partNewsSent, p.partNews = p.partNews, partNews{}
+	report.Sound = p.partUpdates.sound
+	p.partUpdatesSent, p.partUpdates = p.partUpdates, partUpdates{}
 	if version := r.promptParts.Version(); p.needsAll || p.blockedSent != version {
 		p.blockedSent, report.Blocked = version, r.promptParts.BlockedParts(now)
 	}
 }
 
-// applyPartNews applies what a neighbour reports of prompt parts.
-func (r *routing) applyPartNews(in link.Report, now clock.Instant) {
+// applyPartUpdates applies what a neighbour reports of prompt parts.
+func (r *routing) applyPartUpdates(in link.Report, now clock.Instant) {
 	for _, run := range in.Broken {
 		r.addBrokenRun(run, in.Node, now)
 	}
@@ -132,3 +137,12 @@
 		r.withdraw(b.Part)
 	}
 }
+
+// refuseBlocked refuses a call that was admitted before a part of its prompt was blocked.
+func (r *routing) refuseBlocked(c *call, part uint64, now clock.Instant) {
+	if c.runs > 0 {
+		r.refuse(c, contract.Failed(contract.CrashSuspect, blockedPartDetail, part), now)
+		return
+	}
+	r.refuse(c, contract.Refuse(contract.CrashSuspect, 0, blockedPartDetail, part), now)
+}
--- a/node/entry/parts_test.go
+++ b/node/entry/parts_test.go
@@ -50,8 +50,8 @@
 	}
 }
 
-// crashRunners lets each of n different requests with crashingPart break off once, and takes along the request with the
-// digest 50 each time.
+// crashRunners lets each of n different requests with crashingPart break off once, and the request with the digest 50 with
+// each of them.
 func (h *harness) crashRunners(n int) {
 	for i := range uint64(n) {
 		h.now = h.now.Add(time.Second)
@@ -67,7 +67,7 @@
 }
 
 // TestRequestsWithCrashingPartAreRefused guards the runners against requests that differ in all but one part of their
-// prompts, which crashes each runner, and sound requests against being refused because their runs were taken along.
+// prompts, which crashes each runner, and sound requests against being refused because their runs were broken off by the same crashes.
 func TestRequestsWithCrashingPartAreRefused(t *testing.T) {
 	h := newHarness()
 	h.setUp()
@@ -89,7 +89,7 @@
 }
 
 // TestSilentRunsAreNoStrikes guards against blocking the prompt parts of requests whose runs were cancelled by mangopass,
-// failed with an error of the runner, or were taken along long after their answers had begun.
+// failed with an error of the runner, or were broken off long after their answers had begun.
 func TestSilentRunsAreNoStrikes(t *testing.T) {
 	ends := map[string]attemptEnded{
 		"silent":  {result: resultBroken, cause: errSilent},
--- a/node/entry/reports.go
+++ b/node/entry/reports.go
@@ -105,7 +105,7 @@
 	if p.needsAll = !p.outbox.TryPush(report); !p.needsAll {
 		p.reportPending, p.urgent, p.sentAt = true, false, now
 	} else {
-		p.partNews.add(p.partNewsSent)
+		p.partUpdates.add(p.partUpdatesSent)
 	}
 }
 
@@ -125,7 +125,7 @@
 	report.Loads, report.Spent = r.loadsFor(name, p), r.quotaUsageFor(name, p, now)
 	report.Limits = r.limitUsageFor(name, p, now)
 	report.Struck, p.unreportedCrashes = p.unreportedCrashes, nil
-	r.addPartNews(report, p, now)
+	r.addPartUpdates(report, p, now)
 	if p == r.towardsPlanner() {
 		report.Asked = r.demand.Take(r.waitingRequests(), now)
 	}
@@ -190,7 +190,7 @@
 	p.reportPending = false
 	if !m.ok {
 		p.needsAll, p.fedRevision = true, 0 // whether the peer has applied the report is unknown
-		p.partNews.add(p.partNewsSent)
+		p.partUpdates.add(p.partUpdatesSent)
 		if p.failures++; p.failures >= maxDeliveryFailures {
 			p.avoidUntil = now.Add(avoidTime)
 		}
@@ -272,7 +272,7 @@
 	for _, digest := range in.Struck {
 		r.countCrash(digest, in.Node, now)
 	}
-	r.applyPartNews(in, now)
+	r.applyPartUpdates(in, now)
 	r.applyDemand(in, p, now)
 	r.applyFeed(in.Feed, now)
 	r.applyLeaderState(in, p, now)
--- a/node/entry/tree.go
+++ b/node/entry/tree.go
@@ -111,7 +111,7 @@
 	clear(p.reportedUsage)
 	clear(p.reportedLimits)
 	p.membersSent, p.fedRevision, p.feedSent = 0, 0, 0
-	p.partNews, p.partNewsSent = partNews{}, partNews{}
+	p.partUpdates, p.partUpdatesSent = partUpdates{}, partUpdates{}
 	if role == link.Unrelated {
 		r.table.SetPeer(name, nil)
 	} else {
