Ignore figures in peers' reports that no limit can be counted with

Cause: a report with a total or a limit that is not a number made the level of an organisation's limit not a number too, so that it admitted everything for good. Counts of blocks were not bounded, and a block without time left was taken over. Change: QuotaUsage and LimitUsage state whether their figures are valid, and others are ignored; blocks are bounded.

--- a/fleet/link/parts.go
+++ b/fleet/link/parts.go
@@ -35,6 +35,8 @@
 	// minBlockTime is how long a part is blocked at first. Each crash after that doubles it, up to maxBlockTime.
 	minBlockTime = 5 * time.Minute
 	maxBlockTime = time.Hour
+	// maxBlocks limits the count of blocks in a row.
+	maxBlocks = 16
 	// maxTrackedParts limits the parts with crashes. Further ones are not counted.
 	maxTrackedParts = 4096
 )
@@ -122,7 +124,7 @@
 
 // Add counts a broken run. It reports whether a blocked part explains it.
 func (t *PartTracker) Add(run BrokenRun, now clock.Instant) (explained bool) {
-	c := t.crashOf(run, now.Add(-run.Age))
+	c := t.crashOf(run, now.Add(-max(0, run.Age)))
 	for i, part := range run.Parts {
 		p := t.record(part, now)
 		if p == nil {
@@ -261,11 +263,12 @@
 }
 
 // blockTime returns how long a part is blocked that has been blocked the given number of times in a row.
-func blockTime(blocks int) time.Duration { return min(minBlockTime<<min(blocks-1, 8), maxBlockTime) }
+func blockTime(blocks int) time.Duration { return min(minBlockTime<<(blocks-1), maxBlockTime) }
 
 // StoredBlock returns the block of a part that was found in the platform's store. When it began is unknown: any complete
 // run that is remembered counts as later.
 func StoredBlock(part uint64, blocks int) BlockedPart {
+	blocks = min(blocks, maxBlocks)
 	return BlockedPart{Part: part, Since: partWindow, Left: blockTime(blocks), Blocks: blocks}
 }
 
@@ -275,7 +278,7 @@
 	for _, s := range p.crashes {
 		p.blockedSince = min(p.blockedSince, s.crash.at)
 	}
-	p.blocks++
+	p.blocks = min(p.blocks+1, maxBlocks)
 	p.blockedUntil = now.Add(blockTime(p.blocks))
 }
 
@@ -324,6 +327,9 @@
 // Adopt takes over a part that a peer blocks, and reports whether it was not blocked here. A part with a complete run
 // since its first crash is not taken over.
 func (t *PartTracker) Adopt(b BlockedPart, now clock.Instant) bool {
+	if b.Blocks < 1 || b.Blocks > maxBlocks || b.Left <= 0 || b.Since < 0 {
+		return false
+	}
 	if at, ok := t.completed[b.Part]; ok && now.Sub(at) <= b.Since {
 		return false
 	}
--- a/fleet/link/ratelimit.go
+++ b/fleet/link/ratelimit.go
@@ -36,6 +36,11 @@
 	Heard     float64       // see QuotaUsage
 }
 
+// Valid reports whether the figures are numbers that a limit can be counted with.
+func (u LimitUsage) Valid() bool {
+	return u.PerSecond >= 0 && u.Age >= 0 && finite(u.PerSecond, u.Total, u.Level, u.Heard)
+}
+
 // RateLimits keeps the rate limits that runners state and what all entry VMs have sent to them.
 type RateLimits struct {
 	limits map[machine.RunnerID]*RateLimit
--- a/fleet/link/report.go
+++ b/fleet/link/report.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"math"
 	"time"
 
 	"github.com/mangopass/mangopass/fleet/contract"
@@ -56,6 +57,22 @@
 	Ended   []EndedTerm           // terms that ended lately
 }
 
+// Valid reports whether the figures are numbers that a limit can be counted with.
+func (u QuotaUsage) Valid() bool { return finite(u.Total, u.Level, u.Heard) }
+
+// finite reports whether none of the figures is infinite or not a number.
+func finite(figures ...float64) bool {
+	for _, f := range figures {
+		if math.IsNaN(f) || math.Abs(f) > maxFigure {
+			return false
+		}
+	}
+	return true
+}
+
+// maxFigure is the largest figure that a report may state.
+const maxFigure = 1e15
+
 // EndedTerm says that the leader of a shard gives no more orders to its runners under a term, its exclusive right to
 // give them.
 type EndedTerm struct {
--- a/node/entry/limits.go
+++ b/node/entry/limits.go
@@ -74,7 +74,7 @@
 func (r *routing) applyLimitUsage(in link.Report, now clock.Instant) {
 	for _, usage := range in.Limits {
 		runner := r.fleet.Get(usage.Runner)
-		if runner == nil || runner.Boot != usage.Boot {
+		if runner == nil || runner.Boot != usage.Boot || !usage.Valid() {
 			continue
 		}
 		r.setRateLimit(runner, usage.PerSecond, now.Add(-usage.Age), in.Node, now)
--- a/node/entry/reports.go
+++ b/node/entry/reports.go
@@ -264,7 +264,7 @@
 	}
 	r.applyMembers(p, in.Members, now)
 	for _, usage := range in.Spent {
-		if o := r.organisation(usage.Organisation); o != nil && o.Limit.PerSecond > 0 {
+		if o := r.organisation(usage.Organisation); o != nil && o.Limit.PerSecond > 0 && usage.Valid() {
 			r.applyQuotaUsage(r.quota(o, now), in, usage, now)
 		}
 	}
