Leave no load at a runner for attempts that were not made

Cause: a decision on an attempt that came over 100 ms after its caller had gone was never read, so that its load stayed at the runner until the process ended, and its cost with the organisation. Prefill stayed queued at a runner if the first event of a stream could not be reported because the routing duty's ring was full. Both were noticed while reading the code. Change: the routing duty takes a pending decision back when it applies that the caller has gone, so the request's goroutine waits no more; whether the first event was reported is part of the end of an attempt. Measured: TestCancelledCallLeavesNoLoad and TestUnreportedStartLeavesNoQueue failed before (one request and 5.2 ms of prefill left; 1.04 ms instead of 0.52 ms queued) and pass; all tests of node/entry and duty pass.

--- a/duty/ring/ring.go
+++ b/duty/ring/ring.go
@@ -84,6 +84,13 @@
 	}
 }
 
+// TryPop removes the oldest item, or returns false if there is none. It never blocks.
+func (r *Ring[T]) TryPop() (T, bool) {
+	var one [1]T
+	n, _ := r.popAvailable(one[:])
+	return one[0], n > 0
+}
+
 // Pop removes the oldest item, blocking until there is one. It returns ErrClosed once the ring is closed and empty, and
 // the context's error if the context ends first.
 func (r *Ring[T]) Pop(ctx context.Context) (T, error) {
--- a/node/entry/admission.go
+++ b/node/entry/admission.go
@@ -359,11 +359,19 @@
 	c.decisions.TryPush(decision{refusal: refusal})
 }
 
-// apply drops a call whose caller has disconnected. The cost of a call that was never sent is refunded to its quota.
+// apply drops a call whose caller has disconnected, with an attempt that has been decided on and not been made. The cost
+// of a call that was never sent is refunded to its quota.
 func (m callCancelled) apply(r *routing, now clock.Instant) {
 	c := m.call
 	r.stopWaiting(c)
 	delete(r.inFlight, c)
+	if d, pending := c.decisions.TryPop(); pending && d.refusal == nil {
+		c.sends--
+		if l := r.linkOf(d.attempt); l != nil {
+			l.Started(d.attempt.artifact, d.attempt.prefill, d.attempt.timely, 0, 0)
+			l.Finished(d.attempt.artifact)
+		}
+	}
 	if c.cost > 0 && c.sends == 0 && c.admitted.Organisation != nil {
 		r.quota(c.admitted.Organisation, now).Refund(c.cost, now)
 		c.cost = 0
--- a/node/entry/admission_test.go
+++ b/node/entry/admission_test.go
@@ -62,3 +62,40 @@
 			got, level, h.quotas["coop"].Own())
 	}
 }
+
+// TestCancelledCallLeavesNoLoad guards against load that stays at a runner for good, and limits that stay charged, because
+// a caller disconnected when the decision on its request was made and nobody carried the decision out.
+func TestCancelledCallLeavesNoLoad(t *testing.T) {
+	h := newHarness()
+	h.setUp()
+	h.announceEngines(1)
+	level := h.quota(h.organisation("coop"), h.now).Level(h.now)
+	c := newCall(context.Background(), &contract.Request{
+		ID: "q", Host: "h", Path: "/chat/", Key: contract.HashKey("key"), HasKey: true, Arrived: h.now, Model: "m",
+		PromptTokens: 100, MaxTokens: 50, Counted: true, Digest: 7,
+	})
+	h.apply(callArrived{call: c})
+	h.apply(callCancelled{call: c})
+	place := machine.Place{Runner: "e0", Artifact: machine.Artifact{Service: "e", Model: "m"}}
+	if n, queued := h.table.Running(place), h.table.Queued("e0"); n != 0 || queued != 0 {
+		t.Errorf("%d requests and %v of prefill are left at the runner", n, queued)
+	}
+	if got := h.quotas["coop"].Level(h.now); got != level {
+		t.Errorf("the quota's level is %v, want %v as before the request", got, level)
+	}
+}
+
+// TestUnreportedStartLeavesNoQueue guards against prefill that stays queued at a runner because the first event of a stream
+// could not be reported while the routing duty's ring was full.
+func TestUnreportedStartLeavesNoQueue(t *testing.T) {
+	h := newHarness()
+	h.setUp()
+	h.announceEngines(1)
+	first, d := h.admitPrompt(1)
+	other, _ := h.admitPrompt(2)
+	h.apply(attemptEnded{call: first, attempt: d.attempt, result: resultServed, started: true, final: true, status: 200})
+	if queued, want := h.table.Queued("e0"), d.attempt.prefill; queued > want {
+		t.Errorf("%v of prefill queued with one request left, want at most %v", queued, want)
+	}
+	_ = other
+}
--- a/node/entry/attempts.go
+++ b/node/entry/attempts.go
@@ -39,7 +39,7 @@
 	delete(r.inFlight, c)
 	r.recordPartOutcome(m, now)
 	if l := r.linkOf(m.attempt); l != nil {
-		if !m.started {
+		if !m.startReported {
 			l.Started(m.attempt.artifact, m.attempt.prefill, m.attempt.timely, 0, 0)
 		}
 		l.Finished(m.attempt.artifact)
--- a/node/entry/callers.go
+++ b/node/entry/callers.go
@@ -108,25 +108,15 @@
 	}
 }
 
-// reportCancel tells the routing duty that the caller has disconnected. If the duty had already decided on an
-// attempt, that attempt is not made; it is reported as ended, since it would otherwise stay in the runner's load.
+// reportCancel tells the routing duty that the caller has disconnected. If the duty has decided on an attempt by then, it
+// takes the decision back.
 func (x *exchange) reportCancel() {
-	ctx := context.WithoutCancel(x.call.ctx)
-	_ = x.routing.Push(ctx, callCancelled{call: x.call})
-	raceCtx, cancel := context.WithTimeout(ctx, cancelRaceTimeout)
-	defer cancel()
-	d, err := x.call.decisions.Pop(raceCtx)
-	if err == nil && d.refusal == nil {
-		_ = x.routing.Push(ctx, attemptEnded{call: x.call, attempt: d.attempt, result: resultCallerGone, final: true})
-	}
+	_ = x.routing.Push(context.WithoutCancel(x.call.ctx), callCancelled{call: x.call})
 	if x.headWritten {
 		panic(http.ErrAbortHandler)
 	}
 }
 
-// cancelRaceTimeout is how long reportCancel waits for a decision that was made before the cancellation was applied.
-const cancelRaceTimeout = 100 * time.Millisecond
-
 // refuse writes a refusal, or aborts the connection if part of an answer has been sent.
 func (x *exchange) refuse(refusal *contract.Refusal) {
 	if x.headWritten {
@@ -259,7 +249,7 @@
 		silence.reset()
 		if !end.started {
 			end.started = true
-			_ = x.routing.TryPush(attemptStarted{call: x.call, attempt: a, took: clock.Now().Sub(begin)})
+			end.startReported = x.routing.TryPush(attemptStarted{call: x.call, attempt: a, took: clock.Now().Sub(begin)})
 		}
 		if !x.headWritten {
 			x.writeHead(answer)
--- a/node/entry/message.go
+++ b/node/entry/message.go
@@ -106,19 +106,20 @@
 
 // attemptEnded is the end of an attempt. The call waits for a further decision unless final is set.
 type attemptEnded struct {
-	call      *call
-	attempt   attempt
-	result    result
-	cause     error
-	took      time.Duration
-	status    int           // of the answer; zero: none
-	delimited bool          // the answer tells where it ends, so that a complete one is known to be complete
-	lost      bool          // the connection ended before the answer did
-	answered  bool          // the head of the answer has arrived
-	answering time.Duration // time since then
-	started   bool          // the first event has arrived; attemptStarted was pushed unless the ring was full
-	streaming bool          // events have been sent to the caller
-	final     bool
+	call          *call
+	attempt       attempt
+	result        result
+	cause         error
+	took          time.Duration
+	status        int           // of the answer; zero: none
+	delimited     bool          // the answer tells where it ends, so that a complete one is known to be complete
+	lost          bool          // the connection ended before the answer did
+	answered      bool          // the head of the answer has arrived
+	answering     time.Duration // time since then
+	started       bool          // the first event has arrived
+	startReported bool          // attemptStarted was pushed; the ring was not full
+	streaming     bool          // events have been sent to the caller
+	final         bool
 }
 
 // storeChanged carries changed entries of the platform's store.
