Add a fault soak on the real programs

The demo and the soak share one manifest. Links between entry VMs and to the store have no proxy yet, and clocks are not moved.

--- a/Makefile
+++ b/Makefile
@@ -5,12 +5,12 @@
 CHECKS ?= 100
 FUZZTIME ?= 60s
 
-.PHONY: all build test fuzz measure demo lint generate
+.PHONY: all build test fuzz measure demo soak lint generate
 
 all: build
 
 build:
-	go build -o bin/ ./cmd/mangopassd ./cmd/mangopass ./standin/cmd/standin ./standin/cmd/demo
+	go build -o bin/ ./cmd/mangopassd ./cmd/mangopass ./standin/cmd/standin ./standin/cmd/demo ./standin/cmd/soak
 
 # The packages with rapid tests take the seed; rapid's flags are unknown to the others.
 RAPID := $(shell grep -rl --include='*_test.go' 'pgregory.net/rapid' $(MODULES) | xargs -r -n1 dirname | sort -u | sed 's,^,./,')
@@ -33,6 +33,12 @@
 demo: build
 	bin/demo --binaries bin
 
+# Plays SOAK_SEEDS seeds of the fault soak, from SOAK_SEED on; about 20 s each.
+SOAK_SEED ?= 1
+SOAK_SEEDS ?= 2
+soak: build
+	bin/soak --binaries bin --seed $(SOAK_SEED) --seeds $(SOAK_SEEDS) --duration 15s --keep target/soak
+
 lint:
 	scripts/check-format
 	go vet $(PACKAGES)
--- a/standin/cmd/demo/main.go
+++ b/standin/cmd/demo/main.go
@@ -22,12 +22,9 @@
 )
 
 const (
-	callerKey    = "key-of-the-cooperative" // the organisation's key in the first manifest
-	manifestWait = 2 * time.Second          // for the entry VMs to apply a new manifest
+	manifestWait = 2 * time.Second // for the entry VMs to apply a new manifest
 )
 
-type object = map[string]any
-
 func main() {
 	var options struct {
 		Binaries string `long:"binaries" default:"bin" description:"folder with mangopassd, mangopass and standin"`
@@ -65,7 +62,7 @@
 		return err
 	}
 	ctx := context.Background()
-	if err := d.PutManifest(ctx, manifest(1, callerKey)); err != nil {
+	if err := d.PutManifest(ctx, deploy.Manifest(1, 500, 1500, deploy.CallerKey)); err != nil {
 		return err
 	}
 	if err := d.AwaitReady(); err != nil {
@@ -74,36 +71,6 @@
 	return runSteps(ctx, d, binaries, dir)
 }
 
-// manifest returns a manifest in which the organisation coop has the given keys.
-func manifest(version int, keys ...string) object {
-	route := func(name, kind, service string, resume bool) object {
-		return object{
-			"name": name, "host": "coop.example", "prefix": "/" + name + "/", "kind": kind, "timeout_ms": 8000,
-			"target_latency_ms": 2500, "service": service, "max_attempts": 2, "can_resume": resume, "gap_aim_ms": 400,
-		}
-	}
-	models := []object{}
-	for _, name := range []string{"tulip", "lily", "rose"} {
-		models = append(models, object{
-			"name": name, "weights_mb": 30000, "load_s": 0.5, "adapter_mb": 40, "warm_s": 0.2, "disk_s": 0.3,
-		})
-	}
-	return object{
-		"version": version,
-		"routes":  []object{route("chat", "stream", "engines", true), route("confirm", "unsafe", "desk", false)},
-		"services": []object{
-			{"name": "engines", "engine": object{
-				"slots": 8, "weights_mb": 70000, "adapter_slots": 2, "models": models,
-			}},
-			{"name": "desk"},
-		},
-		"limits": object{"header_bytes": 16384, "body_bytes": 4194304, "header_ms": 3000, "idle_ms": 15000},
-		"tenants": []object{
-			{"name": "coop", "keys": keys, "unit": "tokens", "plain_tokens": 200, "rate_per_s": 500, "burst": 1500},
-		},
-	}
-}
-
 // runSteps runs the steps of the demo and prints their results.
 func runSteps(ctx context.Context, d *deploy.Deployment, binaries, dir string) error {
 	fmt.Println("1. A streamed answer from a model that no engine holds:")
@@ -137,7 +104,7 @@
 	fmt.Printf("   statuses %v\n", statuses)
 
 	fmt.Println("4. A withdrawn key is refused at both:")
-	if err := d.PutManifest(ctx, manifest(2, "another-key")); err != nil {
+	if err := d.PutManifest(ctx, deploy.Manifest(2, 500, 1500, "another-key")); err != nil {
 		return err
 	}
 	duty.Pause(ctx, manifestWait)
@@ -166,7 +133,7 @@
 	}
 	req.Host = "coop.example"
 	req.Header.Set("X-Mangopass-Request-Id", id)
-	req.Header.Set("Api-Key", callerKey)
+	req.Header.Set("Api-Key", deploy.CallerKey)
 	if model != "" {
 		req.Header.Set("X-Mangopass-Model", model)
 		req.Header.Set("X-Mangopass-Token-Count", "100,20")
--- a/standin/deploy/deploy.go
+++ b/standin/deploy/deploy.go
@@ -34,6 +34,10 @@
 	Dir      string // for the settings files of the entry VMs
 	Entries  int    // number of entry VMs
 	Runners  []runner.Spec
+
+	// Proxy returns the address at which a runner is announced instead of its own; nil: runners are announced at their own
+	// addresses.
+	Proxy func(r runner.Spec) (string, error)
 }
 
 // Process is a process that the deployment started.
@@ -127,6 +131,11 @@
 		return err
 	}
 	r.Address = address
+	if d.spec.Proxy != nil {
+		if r.Announced, err = d.spec.Proxy(r); err != nil {
+			return err
+		}
+	}
 	spec, err := json.Marshal(r)
 	if err != nil {
 		return errors.Wrap(err, "encode runner spec")
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -16,6 +16,7 @@
 	ID           string
 	Service      string
 	Address      string // IP:port
+	Announced    string // address in the runner's entry; empty: Address
 	Zone         string
 	Slots        int           // requests that run at the same time
 	Models       []string      // loaded at the start; engines only
@@ -225,12 +226,16 @@
 	}
 	r.finishLoad(time.Now())
 	r.heartbeats++
+	address := r.Address
+	if r.Announced != "" {
+		address = r.Announced
+	}
 	state := "ready"
 	if r.faults.Draining {
 		state = "draining"
 	}
 	out := map[string]any{
-		"service": r.Service, "address": r.Address, "zone": r.Zone, "version": "v1", "slots": r.Slots, "state": state,
+		"service": r.Service, "address": address, "zone": r.Zone, "version": "v1", "slots": r.Slots, "state": state,
 		"cold_left_ms": 0, "sequence": r.heartbeats, "born": r.startedMs,
 	}
 	if r.Engine {
--- /dev/null
+++ b/standin/soak/callers.go
@@ -0,0 +1,120 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/mangopass/mangopass/duty"
+	"github.com/mangopass/mangopass/standin/deploy"
+)
+
+// Request is what one caller sent and saw.
+type Request struct {
+	ID         string
+	Route      string // chat, draft, confirm, stock or open
+	Key        string
+	Entry      int
+	Sent       time.Duration // since the start of the load
+	Ended      time.Duration
+	Status     int    // zero: no head of an answer
+	RetryAfter bool   // the answer states when to come back
+	Whole      bool   // the answer ended as its framing states
+	RequestID  string // as the answer states it
+	Seal       string
+	Body       string
+	Error      string // of the connection
+}
+
+// Routes of the load, each with its share.
+var routes = []string{"chat", "chat", "chat", "draft", "confirm", "confirm", "stock", "open"}
+
+const (
+	// requestTimeout is how long callers wait for an answer.
+	requestTimeout = 5 * time.Second
+	// callerPause bounds the time between two requests of a caller.
+	callerPause = 60 * time.Millisecond
+	// oldKey is withdrawn in the middle of a run.
+	oldKey = "key-to-be-withdrawn"
+	// oldKeyShare is one in so many requests that carry it.
+	oldKeyShare = 8
+)
+
+// callers collects the requests of all callers. It is safe for concurrent use.
+type callers struct {
+	start   time.Time
+	entries []string // addresses
+	mu      sync.Mutex
+	seen    []Request
+}
+
+// run sends requests one after the other until the context ends. The connections are kept open.
+func (c *callers) run(ctx context.Context, name string, r *rand.Rand) {
+	client := &http.Client{Transport: &http.Transport{}, Timeout: requestTimeout}
+	defer client.CloseIdleConnections()
+	for n := 0; duty.Pause(ctx, time.Duration(r.Int64N(int64(callerPause)))); n++ {
+		q := Request{
+			ID: fmt.Sprintf("%s-%d", name, n), Route: routes[r.IntN(len(routes))], Entry: r.IntN(len(c.entries)),
+			Key: deploy.CallerKey,
+		}
+		if r.IntN(oldKeyShare) == 0 {
+			q.Key = oldKey
+		}
+		c.send(client, &q)
+		c.mu.Lock()
+		c.seen = append(c.seen, q)
+		c.mu.Unlock()
+	}
+}
+
+// all returns the requests so far.
+func (c *callers) all() []Request {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]Request(nil), c.seen...)
+}
+
+// send sends a request and records what comes back. A request of which the caller could not know whether it ran is not
+// sent again, as its ID would then tell nothing.
+func (c *callers) send(client *http.Client, q *Request) {
+	q.Sent = time.Since(c.start)
+	defer func() { q.Ended = time.Since(c.start) }()
+	method := http.MethodPost
+	if q.Route == "stock" || q.Route == "open" {
+		method = http.MethodGet
+	}
+	req, err := http.NewRequest(method, "http://"+c.entries[q.Entry]+"/"+q.Route+"/x", strings.NewReader("body of "+q.ID))
+	if err != nil {
+		q.Error = err.Error()
+		return
+	}
+	req.GetBody = nil // else the client may send the request again by itself
+	req.Host = "coop.example"
+	req.Header.Set("X-Mangopass-Request-Id", q.ID)
+	req.Header.Set("X-Mangopass-Deadline", fmt.Sprint(requestTimeout.Milliseconds()))
+	if q.Route != "open" {
+		req.Header.Set("Api-Key", q.Key)
+	}
+	if q.Route == "chat" || q.Route == "draft" {
+		req.Header.Set("X-Mangopass-Model", []string{"tulip", "lily"}[len(q.ID)%2])
+		req.Header.Set("X-Mangopass-Token-Count", "40,24")
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		q.Error = err.Error()
+		return
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	q.Status, q.Body, q.Whole = resp.StatusCode, string(body), err == nil
+	q.RequestID, q.Seal = resp.Header.Get("X-Mangopass-Request-Id"), resp.Header.Get("X-Mangopass-Response-Seal")
+	q.RetryAfter = resp.Header.Get("Retry-After") != ""
+	if err != nil {
+		q.Error = err.Error()
+	}
+}
--- /dev/null
+++ b/standin/soak/check.go
@@ -0,0 +1,219 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/mangopass/mangopass/standin/runner"
+)
+
+// Bounds of the checks.
+const (
+	// revokeBound is the time after its removal from which on a key works no more.
+	revokeBound = 5 * time.Second
+	// leavingBound is the time after the removal of its entry, or its draining, from which on a runner gets no requests.
+	leavingBound = 2 * time.Second
+	// limitStable is the time after which the entry VMs keep a limit that a runner states, and limitWindow the window in
+	// which it may get limitOver times what its limit allows, and limitSlack requests.
+	limitStable = 3 * time.Second
+	limitWindow = 4 * time.Second
+	limitOver   = 1.5
+	limitSlack  = 5
+	// settled is the time after an unplanned fault in which bounds in time do not hold.
+	settled = 3 * time.Second
+	// heartbeat is the longest time until a change of a runner's entry is in the store.
+	heartbeat = 400 * time.Millisecond
+	// streamEvents is the number of events of a stream.
+	streamEvents = 12
+	// statedLimit is the limit, in requests a second, of a limited runner.
+	statedLimit = 2.0
+)
+
+// History is all that a run has shown.
+type History struct {
+	Start     time.Time
+	Faults    []Fault
+	Requests  []Request
+	Records   []runner.Record // by runner
+	RevokedAt time.Duration   // when the manifest without oldKey was acknowledged; zero: never
+}
+
+// Check returns what breaks a promise, one line each.
+func Check(h History) []string {
+	c := checker{History: h, runs: make(map[string][]runOf), requests: make(map[string]Request)}
+	for _, q := range h.Requests {
+		c.requests[q.ID] = q
+	}
+	for i, record := range h.Records {
+		for _, run := range record.Runs {
+			c.runs[run.Request] = append(c.runs[run.Request], runOf{Run: run, runner: i})
+		}
+		c.checkRunner(i, record)
+	}
+	for _, q := range h.Requests {
+		c.checkRequest(q)
+	}
+	for _, f := range h.Faults {
+		c.checkFault(f)
+	}
+	return c.broken
+}
+
+type checker struct {
+	History
+	runs     map[string][]runOf // by request
+	requests map[string]Request // by ID
+	broken   []string
+}
+
+// runOf is a run of a request at a runner.
+type runOf struct {
+	runner.Run
+	runner int
+}
+
+func (c *checker) report(format string, args ...any) {
+	c.broken = append(c.broken, fmt.Sprintf(format, args...))
+}
+
+// at returns the time of a run since the start of the load.
+func (c *checker) at(r runner.Run) time.Duration { return r.At.Sub(c.Start) }
+
+// checkRequest checks that a request ran no more often than allowed, and that its answer is true, its own and whole.
+func (c *checker) checkRequest(q Request) {
+	runs := c.runs[q.ID]
+	once := q.Route == "confirm" || q.Route == "draft"
+	if once && len(runs) > 1 {
+		c.report("%s (%s) ran %d times", q.ID, q.Route, len(runs))
+	}
+	refused := q.Status == http.StatusServiceUnavailable || q.Status == http.StatusTooManyRequests
+	if once && refused && len(runs) > 0 {
+		c.report("%s (%s) was refused with %d as not run, and ran", q.ID, q.Route, q.Status)
+	}
+	for _, run := range runs {
+		if run.Key != "" {
+			c.report("%s: a runner got the caller's key", q.ID)
+		}
+		if want := map[bool]string{true: "", false: "coop"}[q.Route == "open"]; run.Tenant != want {
+			c.report("%s ran for the organisation %q, want %q", q.ID, run.Tenant, want)
+		}
+		if run.Body != "body of "+q.ID {
+			c.report("%s ran with the body %q", q.ID, run.Body)
+		}
+		if c.RevokedAt > 0 && q.Key == oldKey && q.Route != "open" && q.Sent > c.RevokedAt+revokeBound {
+			c.report("%s ran %v after its key was withdrawn", q.ID, q.Sent-c.RevokedAt)
+		}
+	}
+	if q.Status == http.StatusOK {
+		c.checkAnswer(q)
+	}
+}
+
+// checkAnswer checks a successful answer. One that ends early must not look complete.
+func (c *checker) checkAnswer(q Request) {
+	if q.RequestID != q.ID || !strings.HasSuffix(q.Seal, "."+q.ID) {
+		c.report("%s got an answer to %q with the seal %q", q.ID, q.RequestID, q.Seal)
+	}
+	if !q.Whole {
+		return
+	}
+	if q.Route != "chat" && q.Route != "draft" {
+		if !strings.HasSuffix(q.Body, " answers "+q.ID+"\n") {
+			c.report("%s got the body %q", q.ID, q.Body)
+		}
+		return
+	}
+	var want strings.Builder
+	for i := 1; i <= streamEvents; i++ {
+		fmt.Fprintf(&want, "id: %d\ndata: token %d\n\n", i, i)
+	}
+	if q.Body != want.String() {
+		c.report("%s got a stream that is not events 1 to %d: %q", q.ID, streamEvents, q.Body)
+	}
+}
+
+// checkRunner checks the orders of a runner: each fence has one holder, and none is followed by a lower one. No order may
+// load more than fits.
+func (c *checker) checkRunner(index int, record runner.Record) {
+	if record.Overload {
+		c.report("runner %d was ordered to load more than fits", index)
+	}
+	holders := make(map[int64]string)
+	last := int64(0)
+	for _, o := range record.Orders {
+		if holder, ok := holders[o.Fence]; ok && holder != o.Holder {
+			c.report("runner %d got orders of %s and %s with fence %d", index, holder, o.Holder, o.Fence)
+		}
+		if o.Fence < last {
+			c.report("runner %d got an order with fence %d after %d", index, o.Fence, last)
+		}
+		holders[o.Fence], last = o.Holder, max(last, o.Fence)
+	}
+}
+
+// unplanned reports whether an unplanned fault affects the time from a moment to another.
+func (c *checker) unplanned(from, to time.Duration) bool {
+	for _, f := range c.Faults {
+		if !f.Kind.planned() && f.Start < to && f.End+settled > from {
+			return true
+		}
+	}
+	return false
+}
+
+// stopped reports whether an entry VM was stopped and started again between two moments.
+func (c *checker) stopped(from, to time.Duration) bool {
+	return slices.ContainsFunc(c.Faults, func(f Fault) bool {
+		return f.Kind == EntryStopped && f.Start < to && f.End+settled > from
+	})
+}
+
+// checkFault checks what planned work promises, where no unplanned fault disturbs it.
+func (c *checker) checkFault(f Fault) {
+	switch f.Kind {
+	case EntryStopped:
+		c.checkStop(f)
+	case RunnerLeaves, RunnerDrains:
+		c.checkLeaving(f)
+	case RunnerLimited:
+		c.checkLimit(f)
+	}
+}
+
+// checkStop checks that a planned stop of an entry VM cuts off no request that it had sent to a runner.
+func (c *checker) checkStop(f Fault) {
+	for _, q := range c.Requests {
+		cut := q.Error != "" && (q.Status == 0 || !q.Whole)
+		if q.Entry == f.Index && cut && q.Ended > f.Start && q.Sent < f.End && len(c.runs[q.ID]) > 0 &&
+			!c.unplanned(q.Sent, q.Ended) && q.Ended-q.Sent < requestTimeout {
+			c.report("%s was cut off by the planned stop of entry %d: %s", q.ID, f.Index, q.Error)
+		}
+	}
+}
+
+// checkLeaving checks that a runner which leaves gets no requests after leavingBound.
+func (c *checker) checkLeaving(f Fault) {
+	for _, run := range c.Records[f.Index].Runs {
+		at := c.at(run)
+		if at > f.Start+heartbeat+leavingBound && at < f.End && !c.unplanned(f.Start, at) {
+			c.report("%s reached runner %d %v after it had begun to leave", run.Request, f.Index, at-f.Start)
+		}
+	}
+}
+
+// checkLimit checks that a limited runner gets no more than its limit allows.
+func (c *checker) checkLimit(f Fault) {
+	allowed := int(limitOver*statedLimit*limitWindow.Seconds()) + limitSlack
+	var at []time.Duration
+	for _, run := range c.Records[f.Index].Runs {
+		if t := c.at(run); t > f.Start+limitStable && t < f.End {
+			at = append(at, t)
+		}
+	}
+	if len(at) > allowed && !c.unplanned(f.Start, f.End) && !c.stopped(f.Start, f.End) {
+		c.report("runner %d got %d requests in %v, its limit allows %d", f.Index, len(at), f.End-f.Start-limitStable, allowed)
+	}
+}
--- /dev/null
+++ b/standin/soak/check_test.go
@@ -0,0 +1,114 @@
+package soak
+
+import (
+	"math/rand/v2"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/mangopass/mangopass/standin/runner"
+)
+
+// soundHistory returns a history of two runners in which every promise is kept.
+func soundHistory() History {
+	start := time.Now()
+	run := func(id string, at time.Duration) runner.Run {
+		return runner.Run{Request: id, Tenant: "coop", Body: "body of " + id, At: start.Add(at)}
+	}
+	answer := func(id string, sent time.Duration) Request {
+		return Request{
+			ID: id, Route: "confirm", Sent: sent, Ended: sent + 20*time.Millisecond, Status: 200, Whole: true, RequestID: id,
+			Seal: "seal.desk-0." + id, Body: "desk-0 answers " + id + "\n",
+		}
+	}
+	return History{
+		Start: start, RevokedAt: 10 * time.Second,
+		Requests: []Request{answer("a", time.Second), answer("b", 16*time.Second)},
+		Records: []runner.Record{
+			{Runs: []runner.Run{run("a", time.Second), run("b", 16*time.Second)}},
+			{Orders: []runner.Order{{Holder: "entry-0", Fence: 3}, {Holder: "entry-1", Fence: 5}}},
+		},
+	}
+}
+
+// TestCheckCatchesBrokenPromises guards against a soak that passes whatever the system does: each promise is broken once,
+// and the check must name it. A history without a break must pass.
+func TestCheckCatchesBrokenPromises(t *testing.T) {
+	if broken := Check(soundHistory()); len(broken) > 0 {
+		t.Fatalf("a sound history breaks %v", broken)
+	}
+	at := func(h *History, d time.Duration) runner.Run {
+		r := h.Records[0].Runs[0]
+		r.At = h.Start.Add(d)
+		return r
+	}
+	breaks := map[string]func(h *History){
+		"ran 2 times":           func(h *History) { h.Records[1].Runs = append(h.Records[1].Runs, h.Records[0].Runs[0]) },
+		"as not run, and ran":   func(h *History) { h.Requests[0].Status = 503 },
+		"the caller's key":      func(h *History) { h.Records[0].Runs[0].Key = "k" },
+		"for the organisation":  func(h *History) { h.Records[0].Runs[0].Tenant = "mill" },
+		"with the body":         func(h *History) { h.Records[0].Runs[0].Body = "other" },
+		"key was withdrawn":     func(h *History) { h.Requests[1].Key = oldKey },
+		"got an answer to":      func(h *History) { h.Requests[0].RequestID = "b" },
+		"got the body":          func(h *History) { h.Requests[0].Body = "desk-0 ans" },
+		"is not events 1 to 12": func(h *History) { h.Requests[0].Route, h.Requests[0].Body = "draft", "id: 2\ndata: token 2\n\n" },
+		"more than fits":        func(h *History) { h.Records[1].Overload = true },
+		"with fence 5":          func(h *History) { h.Records[1].Orders[0].Fence = 5 },
+		"with fence 1 after 3": func(h *History) {
+			h.Records[1].Orders[1].Fence = 1
+		},
+		"planned stop of entry 0": func(h *History) {
+			h.Faults = []Fault{{Kind: EntryStopped, Target: "entry", Start: 900 * time.Millisecond, End: 2 * time.Second}}
+			h.Requests[0].Status, h.Requests[0].Whole, h.Requests[0].Error = 0, false, "EOF"
+		},
+		"after it had begun to leave": func(h *History) {
+			h.Faults = []Fault{{Kind: RunnerLeaves, Target: "runner", Start: 13 * time.Second, End: 17 * time.Second}}
+		},
+		"its limit allows": func(h *History) {
+			h.Faults = []Fault{{Kind: RunnerLimited, Target: "runner", Start: 0, End: limitTime}}
+			for range 18 {
+				r := at(h, 4*time.Second)
+				r.Request = "unknown"
+				h.Records[0].Runs = append(h.Records[0].Runs, r)
+			}
+		},
+	}
+	for want, breakPromise := range breaks {
+		h := soundHistory()
+		breakPromise(&h)
+		if broken := strings.Join(Check(h), "\n"); !strings.Contains(broken, want) {
+			t.Errorf("want a report with %q, got %q", want, broken)
+		}
+	}
+}
+
+// TestUnplannedFaultsExcuse guards against reports of broken bounds while a fault that excuses them is in force.
+func TestUnplannedFaultsExcuse(t *testing.T) {
+	h := soundHistory()
+	h.Faults = []Fault{
+		{Kind: RunnerLeaves, Target: "runner", Start: 13 * time.Second, End: 17 * time.Second},
+		{Kind: EntryPaused, Target: "entry", Start: 11 * time.Second, End: 12 * time.Second},
+	}
+	if broken := Check(h); len(broken) > 0 {
+		t.Errorf("reported although an entry VM was paused shortly before: %v", broken)
+	}
+}
+
+// TestPlanRepeats guards against a seed that plays other faults the next time.
+func TestPlanRepeats(t *testing.T) {
+	plan := func(seed uint64) []Fault {
+		return Plan(rand.New(rand.NewPCG(seed, 0)), 20*time.Second, 3, 7)
+	}
+	if !reflect.DeepEqual(plan(7), plan(7)) || reflect.DeepEqual(plan(7), plan(8)) {
+		t.Error("two plans of a seed differ, or those of two seeds do not")
+	}
+	busy := map[string]time.Duration{}
+	for _, f := range plan(9) {
+		key := f.Target + string(rune('0'+f.Index))
+		if f.Start < busy[key] || f.End <= f.Start {
+			t.Errorf("fault %v overlaps another one of its target, or has no time", f)
+		}
+		busy[key] = f.End
+	}
+}
--- /dev/null
+++ b/standin/soak/plan.go
@@ -0,0 +1,106 @@
+// Package soak runs the shipped program as separate processes, injects faults from outside them, and checks what callers
+// and runners see: each request runs as often as it may, each caller gets its own whole answer or a true refusal, and the
+// system recovers. Faults and load are drawn from one seed.
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+)
+
+// Kind is the kind of a fault.
+type Kind string
+
+// The kinds of faults.
+const (
+	EntryPaused   Kind = "entry_paused"  // SIGSTOP, then SIGCONT
+	EntryKilled   Kind = "entry_killed"  // SIGKILL, then started again
+	EntryStopped  Kind = "entry_stopped" // SIGTERM, then started again
+	StoreRefuses  Kind = "store_refuses"
+	StoreSilent   Kind = "store_silent"
+	StoreSlow     Kind = "store_slow"
+	StoreLoses    Kind = "store_loses_answers"
+	StoreCompacts Kind = "store_compacts"
+	LinkDelayed   Kind = "link_delayed" // of a runner, like the next three
+	LinkReset     Kind = "link_reset"   // connections are reset as soon as they carry bytes
+	LinkSilent    Kind = "link_silent"  // bytes are held back both ways
+	LinkCut       Kind = "link_cut"     // the runner's bytes are held back
+	RunnerResets  Kind = "runner_resets"
+	RunnerSheds   Kind = "runner_sheds"
+	RunnerHangs   Kind = "runner_hangs"
+	RunnerLimited Kind = "runner_limited"
+	RunnerLeaves  Kind = "runner_leaves" // its entry is removed; it goes on to serve
+	RunnerDrains  Kind = "runner_drains"
+)
+
+// planned reports whether the fault is planned work, which must break no request.
+func (k Kind) planned() bool {
+	return k == EntryStopped || k == RunnerLeaves || k == RunnerDrains || k == RunnerLimited || k == StoreCompacts
+}
+
+// kindsByTarget lists the faults of each kind of target.
+var kindsByTarget = map[string][]Kind{
+	"entry": {EntryPaused, EntryKilled, EntryStopped},
+	"store": {StoreRefuses, StoreSilent, StoreSlow, StoreLoses, StoreCompacts},
+	"link":  {LinkDelayed, LinkReset, LinkSilent, LinkCut},
+	"runner": {
+		RunnerResets, RunnerSheds, RunnerHangs, RunnerLimited, RunnerLeaves, RunnerDrains,
+	},
+}
+
+// Fault is a fault of one target, from Start after the start of the load until End.
+type Fault struct {
+	Kind   Kind          `json:"kind"`
+	Target string        `json:"target"` // "entry", "store", "link" or "runner"
+	Index  int           `json:"index"`  // of the entry VM or the runner
+	Start  time.Duration `json:"start"`
+	End    time.Duration `json:"end"`
+}
+
+// String returns the fault as one line of a timeline.
+func (f Fault) String() string {
+	return fmt.Sprintf("%6.2f s to %6.2f s  %s %d: %s", f.Start.Seconds(), f.End.Seconds(), f.Target, f.Index, f.Kind)
+}
+
+// Times of faults.
+const (
+	maxFaultGap  = 1500 * time.Millisecond // between the starts of two faults
+	minFaultTime = 300 * time.Millisecond
+	maxFaultTime = 3 * time.Second
+	firstFaultAt = time.Second
+	limitTime    = 6 * time.Second // of RunnerLimited, so that a window of its check fits in
+	leavingTime  = 4 * time.Second // of RunnerLeaves and RunnerDrains
+)
+
+// Plan draws the faults of a run. Faults of different targets overlap; a target has one at a time.
+func Plan(r *rand.Rand, duration time.Duration, entries, runners int) []Fault {
+	var faults []Fault
+	busy := make(map[string]time.Duration) // end of the last fault, by target
+	targets := []string{"entry", "store", "link", "runner"}
+	for at := firstFaultAt; at < duration; at += time.Duration(r.Int64N(int64(maxFaultGap))) {
+		f := Fault{Target: targets[r.IntN(len(targets))], Start: at}
+		switch f.Target {
+		case "entry":
+			f.Index = r.IntN(entries)
+		case "link", "runner":
+			f.Index = r.IntN(runners)
+		}
+		kinds := kindsByTarget[f.Target]
+		f.Kind = kinds[r.IntN(len(kinds))]
+		f.End = at + minFaultTime + time.Duration(r.Int64N(int64(maxFaultTime-minFaultTime)))
+		switch f.Kind {
+		case RunnerLimited:
+			f.End = at + limitTime
+		case RunnerLeaves, RunnerDrains:
+			f.End = at + leavingTime
+		}
+		key := fmt.Sprint(f.Target, f.Index)
+		if busy[key] > at {
+			continue
+		}
+		busy[key] = f.End
+		faults = append(faults, f)
+	}
+	return faults
+}
--- /dev/null
+++ b/standin/soak/run.go
@@ -0,0 +1,257 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mangopass/mangopass/duty"
+	"github.com/mangopass/mangopass/standin/deploy"
+	"github.com/mangopass/mangopass/standin/runner"
+	"github.com/mangopass/mangopass/standin/store"
+)
+
+// Spec describes a run.
+type Spec struct {
+	Binaries string // folder with mangopassd and standin
+	Dir      string // for settings files
+	Seed     uint64
+	Duration time.Duration // of the faults
+	Entries  int
+	Engines  int
+	Callers  int
+}
+
+// Result is what a run has shown.
+type Result struct {
+	Seed     uint64
+	Faults   []Fault
+	Broken   []string       // promises that were broken
+	Statuses map[string]int // requests by route and status
+	Logs     map[string]string
+}
+
+const (
+	// desks is the number of instances of the plain service.
+	desks = 3
+	// recoveryBound is the time after the last fault in which the system must serve again, recoveryProbes the number of
+	// requests in a row that show it.
+	recoveryBound  = 12 * time.Second
+	recoveryProbes = 20
+	// stopTimeout is how long an entry VM may take for a planned stop.
+	stopTimeout = 12 * time.Second
+)
+
+// Run plays one seed.
+func Run(s Spec) (Result, error) {
+	random := rand.New(rand.NewPCG(s.Seed, 0))
+	x := &execution{Spec: s, group: duty.NewGroup(context.Background()), proxies: make(map[string]*Proxy)}
+	defer x.group.Stop()
+	if err := x.startDeployment(); err != nil {
+		return Result{}, err
+	}
+	defer x.deployment.Stop()
+	faults := Plan(random, s.Duration, s.Entries, len(x.deployment.Runners))
+	x.callers = &callers{start: time.Now()}
+	for _, e := range x.deployment.Entries {
+		x.callers.entries = append(x.callers.entries, e.Callers)
+	}
+	load := duty.NewGroup(context.Background())
+	for i := range s.Callers {
+		r := rand.New(rand.NewPCG(s.Seed, uint64(i)+1))
+		name := fmt.Sprintf("s%d-c%d", s.Seed, i)
+		load.Go(name, func(ctx context.Context) { x.callers.run(ctx, name, r) })
+	}
+	revokedAt, err := x.playFaults(faults)
+	if err != nil {
+		load.Stop()
+		return Result{}, err
+	}
+	recovered := x.awaitRecovery()
+	load.Stop()
+	return x.result(faults, revokedAt, recovered)
+}
+
+// execution is a run in progress.
+type execution struct {
+	Spec
+	deployment *deploy.Deployment
+	group      *duty.Group // the proxies
+	proxies    map[string]*Proxy
+	callers    *callers
+}
+
+func (x *execution) startDeployment() error {
+	spec := deploy.Spec{Binaries: x.Binaries, Dir: x.Dir, Entries: x.Entries, Proxy: x.addProxy}
+	for i := range x.Engines {
+		spec.Runners = append(spec.Runners, runner.Spec{
+			ID: fmt.Sprint("engine-", i), Service: "engines", Zone: "dc-a", Slots: 8, Models: []string{"tulip", "lily"},
+			Engine: true, WeightsMB: 70000, ModelMB: 30000, AdapterSlots: 2, LoadTime: 250 * time.Millisecond,
+			TokenTime: 10 * time.Millisecond, Events: streamEvents,
+		})
+	}
+	for i := range desks {
+		spec.Runners = append(spec.Runners, runner.Spec{
+			ID: fmt.Sprint("desk-", i), Service: "desk", Zone: "dc-a", Slots: 6, TokenTime: 10 * time.Millisecond,
+		})
+	}
+	var err error
+	if x.deployment, err = deploy.Start(spec); err != nil {
+		if x.deployment != nil {
+			x.deployment.Stop()
+		}
+		return err
+	}
+	if err := x.deployment.PutManifest(context.Background(), x.manifest(1, deploy.CallerKey, oldKey)); err != nil {
+		return err
+	}
+	return x.deployment.AwaitReady()
+}
+
+// manifest returns a manifest with a limit that the load does not reach.
+func (x *execution) manifest(version int, keys ...string) any {
+	return deploy.Manifest(version, 400_000, 600_000, keys...)
+}
+
+// addProxy starts the proxy of a runner's link.
+func (x *execution) addProxy(r runner.Spec) (string, error) {
+	p, err := NewProxy(x.group, r.Address)
+	if err != nil {
+		return "", err
+	}
+	x.proxies[r.ID] = p
+	return p.Address(), nil
+}
+
+// playFaults starts each fault at its time and ends it. In the middle of the run, it withdraws a key; it returns when the
+// store acknowledged that.
+func (x *execution) playFaults(faults []Fault) (revokedAt time.Duration, err error) {
+	ctx := context.Background()
+	playing := duty.NewGroup(ctx)
+	for _, f := range faults {
+		playing.Go(f.String(), func(ctx context.Context) {
+			if duty.Pause(ctx, f.Start-time.Since(x.callers.start)) {
+				x.play(f)
+			}
+		})
+	}
+	duty.Pause(ctx, x.Duration/2-time.Since(x.callers.start))
+	if err := x.deployment.PutManifest(ctx, x.manifest(2, deploy.CallerKey)); err != nil {
+		playing.Stop()
+		return 0, err
+	}
+	revokedAt = time.Since(x.callers.start)
+	for _, f := range faults {
+		duty.Pause(ctx, f.End-time.Since(x.callers.start))
+	}
+	for len(playing.Names()) > 0 {
+		duty.Pause(ctx, holdPeriod)
+	}
+	return revokedAt, nil
+}
+
+// play starts a fault, and ends it when its time is over.
+func (x *execution) play(f Fault) {
+	lasts := func() { duty.Pause(context.Background(), f.End-time.Since(x.callers.start)) }
+	switch f.Target {
+	case "entry":
+		x.playEntry(f, lasts)
+	case "store":
+		faults := map[Kind]store.Faults{
+			StoreRefuses: {Refuse: true}, StoreSilent: {Silent: true}, StoreSlow: {SlowMs: 400},
+			StoreLoses: {LoseWrites: true}, StoreCompacts: {Compact: true},
+		}
+		x.setFaults(x.deployment.Store, faults[f.Kind])
+		lasts()
+		x.setFaults(x.deployment.Store, store.Faults{})
+	case "link":
+		p := x.proxies[x.deployment.Runners[f.Index].ID]
+		p.SetFault(f.Kind)
+		lasts()
+		p.SetFault("")
+	case "runner":
+		faults := map[Kind]runner.Faults{
+			RunnerResets: {Reset: 5, BreakAfter: 3}, RunnerSheds: {Shed: 20}, RunnerHangs: {Hang: 3},
+			RunnerLimited: {RateLimit: statedLimit}, RunnerLeaves: {Unlisted: true}, RunnerDrains: {Draining: true},
+		}
+		x.setFaults(x.deployment.Runners[f.Index].Address, faults[f.Kind])
+		lasts()
+		x.setFaults(x.deployment.Runners[f.Index].Address, runner.Faults{})
+	}
+}
+
+// setFaults sets the faults of a stand-in. Only a stand-in that has ended does not answer, and that is seen elsewhere.
+func (x *execution) setFaults(address string, faults any) {
+	_ = x.deployment.SetFaults(context.Background(), address, faults)
+}
+
+// playEntry pauses, kills or stops an entry VM.
+func (x *execution) playEntry(f Fault, lasts func()) {
+	e := x.deployment.Entries[f.Index]
+	switch f.Kind {
+	case EntryPaused:
+		e.Signal(syscall.SIGSTOP)
+		lasts()
+		e.Signal(syscall.SIGCONT)
+		return
+	case EntryKilled:
+		e.Signal(syscall.SIGKILL)
+	case EntryStopped:
+		e.Signal(syscall.SIGTERM)
+	}
+	_, _ = e.Wait(stopTimeout) // one that runs on keeps its port, so that the new process ends by itself
+	lasts()
+	_ = x.deployment.Restart(e)
+}
+
+// awaitRecovery reports whether the system serves recoveryProbes requests in a row within recoveryBound.
+func (x *execution) awaitRecovery() bool {
+	probes := &callers{start: x.callers.start, entries: x.callers.entries}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: requestTimeout}
+	deadline := time.Now().Add(recoveryBound)
+	served := 0
+	for n := 0; served < recoveryProbes && time.Now().Before(deadline); n++ {
+		q := Request{
+			ID: fmt.Sprintf("s%d-probe-%d", x.Seed, n), Route: routes[n%len(routes)], Entry: n % len(probes.entries),
+			Key: deploy.CallerKey,
+		}
+		probes.send(client, &q)
+		served++
+		if q.Status != http.StatusOK || !q.Whole {
+			served = 0
+			duty.Pause(context.Background(), holdPeriod)
+		}
+	}
+	return served >= recoveryProbes
+}
+
+// result collects the records of the runners and checks the history.
+func (x *execution) result(faults []Fault, revokedAt time.Duration, recovered bool) (Result, error) {
+	h := History{Start: x.callers.start, Faults: faults, Requests: x.callers.all(), RevokedAt: revokedAt}
+	for _, r := range x.deployment.Runners {
+		record, err := x.deployment.Record(context.Background(), r.Address)
+		if err != nil {
+			return Result{}, errors.Wrap(err, r.ID)
+		}
+		h.Records = append(h.Records, record)
+	}
+	out := Result{
+		Seed: x.Seed, Faults: faults, Broken: Check(h), Statuses: make(map[string]int), Logs: make(map[string]string),
+	}
+	if !recovered {
+		out.Broken = append(out.Broken, fmt.Sprintf("not %d requests in a row served within %v after the last fault",
+			recoveryProbes, recoveryBound))
+	}
+	for _, q := range h.Requests {
+		out.Statuses[fmt.Sprint(q.Route, " ", q.Status)]++
+	}
+	for _, e := range x.deployment.Entries {
+		out.Logs[e.Name] = e.Log()
+	}
+	return out, nil
+}
