Let requests wait for limited runners as long as for a replica

Cause: refused requests at runners' rate limits once they would be late. Change: such requests wait as long as those without a replica, and count as much for the planner; limitedUntil and limitedWaitingGain are gone. A plain service's request is still refused at once if it can't have its turn in time.

--- a/fleet/machine/placement.go
+++ b/fleet/machine/placement.go
@@ -25,8 +25,6 @@
 	deferrableLoss = 0.3
 	// waitingGain is the gain of a load for each request that waits for it.
 	waitingGain = 1.0
-	// limitedWaitingGain is the same for a request that waits for a runner at its rate limit, which will take it before long.
-	limitedWaitingGain = 0.3
 	// lateWeight is the weight of a request that will be late in any case, against at least one for a request that can
 	// still be in time: a late answer earns about a seventh.
 	lateWeight = 0.15
--- a/node/entry/admission.go
+++ b/node/entry/admission.go
@@ -186,7 +186,7 @@
 	}
 	_, known := r.model(c)
 	switch {
-	case choice.Limited && (now.Add(choice.Retry).After(c.limitedUntil()) || r.waitedLongEnough(c, now)):
+	case choice.Limited && (!known && now.Add(choice.Retry).After(c.waitUntil) || r.waitedLongEnough(c, now)):
 		r.refuseLimited(c, choice.Retry, now)
 	case !known && !choice.Limited:
 		r.refuseWithCode(c, contract.NoRunner, "no runner of the service is usable", now)
--- a/node/entry/limits.go
+++ b/node/entry/limits.go
@@ -86,12 +86,6 @@
 	}
 }
 
-// limitedUntil returns the instant until which a call may wait for runners at their rate limits. Such runners take fewer
-// requests than come, so a call that is late already would take the place of one that can be in time.
-func (c *call) limitedUntil() clock.Instant {
-	return min(c.waitUntil, c.request.Arrived.Add(c.admitted.Route.Objective))
-}
-
 // refuseLimited refuses a call because all runners that could take it are at their rate limits. The caller may return when
 // one of them takes the next request, at a random instant after that, so that the callers refused now don't return
 // together.
