--- a/fleet/link/parts.go
+++ b/fleet/link/parts.go
@@ -21,8 +21,8 @@
 	// unansweredScore is the score of a crash before such a head. The request may only have been waiting at the runner, but
 	// if runners go down before they send a head, the fifth crash must be enough.
 	unansweredScore = 3
-	// settleTime is the time from the crash with which a part reaches blockScore until it is blocked, in which the other VMs report their
-	// runs of the same crashes, and a complete run can still clear the part.
+	// settleTime is the time from the crash with which a part reaches blockScore until it is blocked, in which the other
+	// VMs report their runs of the same crashes, and a complete run can still clear the part.
 	settleTime = 100 * time.Millisecond
 	// crashSpacing is the time within which crashes count as one. Runners that go down together, as in a loss of power,
 	// have no part in common that explains it.
--- a/fleet/link/parts_test.go
+++ b/fleet/link/parts_test.go
@@ -83,9 +83,9 @@
 	}
 }
 
-// TestExplainedCrashesAreForgotten guards against refusing requests whose runs were broken off by the crashes of others. Once the
-// part that crashes them is known, neither these requests nor their parts are suspects, however often they were hit, and
-// also if they are reported later.
+// TestExplainedCrashesAreForgotten guards against refusing requests whose runs were broken off by the crashes of others.
+// Once the part that crashes the runners is known, neither these requests nor their parts are suspects, however often they
+// were hit, and also if they are reported later.
 func TestExplainedCrashesAreForgotten(t *testing.T) {
 	tracker, now := NewPartTracker(), start
 	for n := 1; n <= 3; n++ {
@@ -170,8 +170,8 @@
 }
 
 // TestCrashingPartIsFound is a stateful test against a simple model of a fleet: one part crashes each runner that answers
-// a request with it, the crashes break off runs of sound requests too, and runs are reported in any order. The part must be blocked
-// within five crashes, and no other part that complete runs share.
+// a request with it, the crashes break off runs of sound requests too, and runs are reported in any order. The part must
+// be blocked within five crashes, and no other part that complete runs share.
 func TestCrashingPartIsFound(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		tracker, now := NewPartTracker(), start
--- a/node/entry/admission.go
+++ b/node/entry/admission.go
@@ -248,8 +248,8 @@
 	route := c.admitted.Route
 	a := attempt{
 		runner: runner.ID, boot: runner.Boot, address: runner.Address, artifact: c.artifact, prefill: choice.Prefill,
-		timely: choice.Timely, limited: r.table.Limits.Limited(runner), expectedLatency: choice.Wait + choice.Prefill + link.FirstTokenTime,
-		deadline: c.deadline, priority: -1,
+		timely: choice.Timely, expectedLatency: choice.Wait + choice.Prefill + link.FirstTokenTime,
+		limited: r.table.Limits.Limited(runner), deadline: c.deadline, priority: -1,
 		resumable: route.Kind == contract.Stream && route.Resumable,
 	}
 	if c.admitted.Organisation != nil {
@@ -286,8 +286,8 @@
 	return 0
 }
 
-// wait queues a call until a replica is ready or a runner at its rate limit takes one more request, or until it may wait no
-// longer. The planner gets a report at once, since it decides which runner loads the model.
+// wait queues a call until a replica is ready or a runner at its rate limit takes one more request, or until it may wait
+// no longer. The planner gets a report at once, since it decides which runner loads the model.
 func (r *routing) wait(c *call, limited bool, now clock.Instant) {
 	if c.waiting {
 		return
--- a/node/entry/limits.go
+++ b/node/entry/limits.go
@@ -22,7 +22,9 @@
 
 // setRateLimit records the rate limit that a runner stated at the given instant, as source has reported; an empty source
 // is this VM.
-func (r *routing) setRateLimit(runner *machine.Runner, perSecond float64, at clock.Instant, source string, now clock.Instant) {
+func (r *routing) setRateLimit(
+	runner *machine.Runner, perSecond float64, at clock.Instant, source string, now clock.Instant,
+) {
 	before := runner.RateLimit
 	if created := r.table.Limits.State(runner, perSecond, at, now); created != nil {
 		for name, p := range r.members.peers {
--- a/node/entry/message.go
+++ b/node/entry/message.go
@@ -46,7 +46,7 @@
 
 // attempt is one transmission of a call to a runner.
 type attempt struct {
-	ctx             context.Context
+	ctx             context.Context // ends with the call, or by cancel
 	cancel          context.CancelCauseFunc
 	runner          machine.RunnerID
 	boot            int64
--- a/node/entry/parts.go
+++ b/node/entry/parts.go
@@ -35,8 +35,8 @@
 
 func lastOf[T any](list []T) []T { return list[max(0, len(list)-maxPartUpdates):] }
 
-// recordPartOutcome draws conclusions from the end of an attempt on the parts of its prompt: a complete run proves them sound,
-// and one that broke off with its connection makes them suspects.
+// recordPartOutcome draws conclusions from the end of an attempt on the parts of its prompt: a complete run proves them
+// sound, and one that broke off with its connection makes them suspects.
 func (r *routing) recordPartOutcome(m attemptEnded, now clock.Instant) {
 	parts := m.call.parts
 	if len(parts) == 0 || m.attempt.artifact.Model == "" {
--- a/node/entry/parts_test.go
+++ b/node/entry/parts_test.go
@@ -67,7 +67,8 @@
 }
 
 // TestRequestsWithCrashingPartAreRefused guards the runners against requests that differ in all but one part of their
-// prompts, which crashes each runner, and sound requests against being refused because their runs were broken off by the same crashes.
+// prompts, which crashes each runner, and sound requests against being refused because the same crashes broke off their
+// runs.
 func TestRequestsWithCrashingPartAreRefused(t *testing.T) {
 	h := newHarness()
 	h.setUp()
