End the process if it can't listen for callers

Cause: the failure stopped the duties before their servers were closed, and a duty that serves ends with its server only, so that the process waited for ever. Change: the servers are closed first. Measured: TestPortInUseEndsProcess failed before (still running after 5 s) and passes.

--- a/cmd/processtest/program_test.go
+++ b/cmd/processtest/program_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -189,3 +190,29 @@
 	}
 	return out
 }
+
+// TestPortInUseEndsProcess guards against an entry VM that can't listen for callers and stays there all the same: ready for
+// the platform, with a lease and reports, but without serving anybody.
+func TestPortInUseEndsProcess(t *testing.T) {
+	d := start(t)
+	e := d.Entries[0]
+	e.Signal(syscall.SIGKILL)
+	if _, err := e.Wait(5 * time.Second); err != nil {
+		t.Fatal(err)
+	}
+	l, err := net.Listen("tcp", e.Callers)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	if err := d.Restart(e); err != nil {
+		t.Fatal(err)
+	}
+	code, err := e.Wait(5 * time.Second)
+	if err != nil || code == 0 {
+		t.Errorf("exit code %d, error %v; want a failure within 5 s", code, err)
+	}
+	if !strings.Contains(e.Log(), "listen for callers") {
+		t.Errorf("the log does not name the listener:\n%s", tail(e.Log(), 5))
+	}
+}
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -86,6 +86,9 @@
 	}
 	e.startDuties(runners, registry, boot)
 	if err := e.listen(registry); err != nil {
+		for _, s := range e.servers { // a duty that serves ends with its server
+			_ = s.Close()
+		}
 		e.group.Stop()
 		return 0, err
 	}
