Give the soak links to the store and a prompt part that crashes engines

Cause: the soak had proxies on the links to runners only, and nothing in it crashed engines. Change: each entry VM reaches the store through a proxy; one in 100 streams has a prompt part that crashes engines, and hardly any may reach one once five have crashed.

--- a/cmd/processtest/prompt_test.go
+++ b/cmd/processtest/prompt_test.go
@@ -107,7 +107,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		n += record.Crashes
+		n += len(record.CrashedAt)
 	}
 	return n
 }
--- a/standin/deploy/deploy.go
+++ b/standin/deploy/deploy.go
@@ -35,9 +35,9 @@
 	Entries  int    // number of entry VMs
 	Runners  []runner.Spec
 
-	// Proxy returns the address at which a runner is announced instead of its own; nil: runners are announced at their own
-	// addresses.
-	Proxy func(r runner.Spec) (string, error)
+	// Proxy returns the address of a proxy in front of another one, for the link with the given name: runners are announced
+	// at that of their links, and entry VMs get that of theirs to the store. nil: there are no proxies.
+	Proxy func(link, address string) (string, error)
 }
 
 // Process is a process that the deployment started.
@@ -132,7 +132,7 @@
 	}
 	r.Address = address
 	if d.spec.Proxy != nil {
-		if r.Announced, err = d.spec.Proxy(r); err != nil {
+		if r.Announced, err = d.spec.Proxy(r.ID, r.Address); err != nil {
 			return err
 		}
 	}
@@ -156,10 +156,17 @@
 		addresses[i] = a
 	}
 	e.Callers, e.Ready, e.API, e.Metrics = addresses[0], addresses[1], addresses[2], addresses[3]
+	storeAddress := d.Store
+	if d.spec.Proxy != nil {
+		var err error
+		if storeAddress, err = d.spec.Proxy(name, d.Store); err != nil {
+			return err
+		}
+	}
 	_, peerPort, _ := net.SplitHostPort(addresses[4])
 	port, _ := strconv.Atoi(peerPort)
 	settings := map[string]any{
-		"id": name, "ip": "127.0.0.1", "zone": "dc-a", "ports": []int{port, port + 1}, "store": d.Store,
+		"id": name, "ip": "127.0.0.1", "zone": "dc-a", "ports": []int{port, port + 1}, "store": storeAddress,
 		"listen": map[string]string{"callers": e.Callers, "ready": e.Ready, "api": e.API, "metrics": e.Metrics},
 		"rules": map[string]any{
 			"revoke_ms": 5000, "grace_s": 8, "lease_ms": 3000, "min_lease_ms": 1000, "retry_ratio": 0.2,
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -78,7 +78,8 @@
 	Runs     []Run   `json:"runs"`
 	Orders   []Order `json:"orders"`
 	Overload bool    `json:"overload"` // an order exceeded the memory for models or the adapter slots
-	Crashes  int     `json:"crashes"`
+
+	CrashedAt []time.Time `json:"crashed_at"`
 }
 
 // Runner is the state of a stand-in runner. It is safe for concurrent use.
@@ -121,7 +122,7 @@
 func (r *Runner) crash() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.record.Crashes++
+	r.record.CrashedAt = append(r.record.CrashedAt, time.Now())
 	r.endLife()
 	r.start()
 }
--- a/standin/soak/callers.go
+++ b/standin/soak/callers.go
@@ -20,6 +20,7 @@
 	Route      string // chat, draft, confirm, stock or open
 	Key        string
 	Entry      int
+	Tainted    bool          // its prompt has crashPart
 	Sent       time.Duration // since the start of the load
 	Ended      time.Duration
 	Status     int    // zero: no head of an answer
@@ -43,6 +44,9 @@
 	oldKey = "key-to-be-withdrawn"
 	// oldKeyShare is one in so many requests that carry it.
 	oldKeyShare = 8
+	// crashPart is a prompt part that crashes the engines, taintedShare one in so many streams that have it.
+	crashPart    = "dead"
+	taintedShare = 100
 )
 
 // callers collects the requests of all callers. It is safe for concurrent use.
@@ -60,7 +64,7 @@
 	for n := 0; duty.Pause(ctx, time.Duration(r.Int64N(int64(callerPause)))); n++ {
 		q := Request{
 			ID: fmt.Sprintf("%s-%d", name, n), Route: routes[r.IntN(len(routes))], Entry: r.IntN(len(c.entries)),
-			Key: deploy.CallerKey,
+			Key: deploy.CallerKey, Tainted: r.IntN(taintedShare) == 0,
 		}
 		if r.IntN(oldKeyShare) == 0 {
 			q.Key = oldKey
@@ -103,6 +107,11 @@
 	if q.Route == "chat" || q.Route == "draft" {
 		req.Header.Set("X-Mangopass-Model", []string{"tulip", "lily"}[len(q.ID)%2])
 		req.Header.Set("X-Mangopass-Token-Count", "40,24")
+		prompt := fmt.Sprintf("a1:8,c%d:8,%x:24", len(q.ID), q.ID)
+		if q.Tainted {
+			prompt = fmt.Sprintf("a1:8,%s:8,%x:24", crashPart, q.ID)
+		}
+		req.Header.Set("X-Mangopass-Prompt-Prefix", prompt)
 	}
 	resp, err := client.Do(req)
 	if err != nil {
--- a/standin/soak/check.go
+++ b/standin/soak/check.go
@@ -22,6 +22,10 @@
 	limitWindow = 4 * time.Second
 	limitOver   = 1.5
 	limitSlack  = 5
+	// crashLimit is the number of crashes by one prompt part, and crashedRuns the number of runs with it that may follow
+	// later than settled.
+	crashLimit  = 5
+	crashedRuns = 3
 	// settled is the time after an unplanned fault in which bounds in time do not hold.
 	settled = 3 * time.Second
 	// heartbeat is the longest time until a change of a runner's entry is in the store.
@@ -59,9 +63,42 @@
 	for _, f := range h.Faults {
 		c.checkFault(f)
 	}
+	c.checkCrashes()
 	return c.broken
 }
 
+// checkCrashes checks that hardly any request with crashPart reaches an engine once the part has crashed engines often
+// enough.
+func (c *checker) checkCrashes() {
+	crashes := c.crashes()
+	if len(crashes) < crashLimit {
+		return
+	}
+	from, runs := crashes[crashLimit-1]+settled, 0
+	for id, list := range c.runs {
+		for _, run := range list {
+			if at := c.at(run.Run); c.requests[id].Tainted && at > from && !c.disturbed(at-settled, at) {
+				runs++
+			}
+		}
+	}
+	if runs > crashedRuns {
+		c.report("%d requests with a part that crashes engines reached engines after %v", runs, from)
+	}
+}
+
+// crashes returns when engines crashed, in the order of time.
+func (c *checker) crashes() []time.Duration {
+	var out []time.Duration
+	for _, record := range c.Records {
+		for _, at := range record.CrashedAt {
+			out = append(out, at.Sub(c.Start))
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 type checker struct {
 	History
 	runs     map[string][]runOf // by request
@@ -154,14 +191,18 @@
 	}
 }
 
-// unplanned reports whether an unplanned fault affects the time from a moment to another.
+// disturbed reports whether an unplanned fault affects the time from a moment to another.
+func (c *checker) disturbed(from, to time.Duration) bool {
+	return slices.ContainsFunc(c.Faults, func(f Fault) bool {
+		return !f.Kind.planned() && f.Start < to && f.End+settled > from
+	})
+}
+
+// unplanned reports whether an unplanned fault, or the crash of an engine, affects the time from a moment to another.
 func (c *checker) unplanned(from, to time.Duration) bool {
-	for _, f := range c.Faults {
-		if !f.Kind.planned() && f.Start < to && f.End+settled > from {
-			return true
-		}
-	}
-	return false
+	return c.disturbed(from, to) || slices.ContainsFunc(c.crashes(), func(at time.Duration) bool {
+		return at < to && at+settled > from
+	})
 }
 
 // stopped reports whether an entry VM was stopped and started again between two moments.
--- a/standin/soak/check_test.go
+++ b/standin/soak/check_test.go
@@ -65,6 +65,15 @@
 		"after it had begun to leave": func(h *History) {
 			h.Faults = []Fault{{Kind: RunnerLeaves, Target: "runner", Start: 13 * time.Second, End: 17 * time.Second}}
 		},
+		"that crashes engines": func(h *History) {
+			for i := range 5 {
+				h.Records[0].CrashedAt = append(h.Records[0].CrashedAt, h.Start.Add(time.Duration(i)*time.Second))
+			}
+			h.Requests[0].Tainted, h.Requests[0].Route = true, "stock"
+			for range 4 {
+				h.Records[0].Runs = append(h.Records[0].Runs, at(h, 9*time.Second))
+			}
+		},
 		"its limit allows": func(h *History) {
 			h.Faults = []Fault{{Kind: RunnerLimited, Target: "runner", Start: 0, End: limitTime}}
 			for range 18 {
@@ -98,7 +107,7 @@
 // TestPlanRepeats guards against a seed that plays other faults the next time.
 func TestPlanRepeats(t *testing.T) {
 	plan := func(seed uint64) []Fault {
-		return Plan(rand.New(rand.NewPCG(seed, 0)), 20*time.Second, 3, 7)
+		return Plan(rand.New(rand.NewPCG(seed, 0)), 20*time.Second, Sizes{Entries: 3, Runners: 7, Links: 10})
 	}
 	if !reflect.DeepEqual(plan(7), plan(7)) || reflect.DeepEqual(plan(7), plan(8)) {
 		t.Error("two plans of a seed differ, or those of two seeds do not")
--- a/standin/soak/plan.go
+++ b/standin/soak/plan.go
@@ -22,10 +22,10 @@
 	StoreSlow     Kind = "store_slow"
 	StoreLoses    Kind = "store_loses_answers"
 	StoreCompacts Kind = "store_compacts"
-	LinkDelayed   Kind = "link_delayed" // of a runner, like the next three
+	LinkDelayed   Kind = "link_delayed" // to a runner, or of an entry VM to the store, like the next three
 	LinkReset     Kind = "link_reset"   // connections are reset as soon as they carry bytes
 	LinkSilent    Kind = "link_silent"  // bytes are held back both ways
-	LinkCut       Kind = "link_cut"     // the runner's bytes are held back
+	LinkCut       Kind = "link_cut"     // what the entry VM is to get is held back
 	RunnerResets  Kind = "runner_resets"
 	RunnerSheds   Kind = "runner_sheds"
 	RunnerHangs   Kind = "runner_hangs"
@@ -53,7 +53,7 @@
 type Fault struct {
 	Kind   Kind          `json:"kind"`
 	Target string        `json:"target"` // "entry", "store", "link" or "runner"
-	Index  int           `json:"index"`  // of the entry VM or the runner
+	Index  int           `json:"index"`  // of the entry VM, the runner, or the link: those to runners come first
 	Start  time.Duration `json:"start"`
 	End    time.Duration `json:"end"`
 }
@@ -73,8 +73,11 @@
 	leavingTime  = 4 * time.Second // of RunnerLeaves and RunnerDrains
 )
 
+// Sizes is the number of targets of each kind; there is one store.
+type Sizes struct{ Entries, Runners, Links int }
+
 // Plan draws the faults of a run. Faults of different targets overlap; a target has one at a time.
-func Plan(r *rand.Rand, duration time.Duration, entries, runners int) []Fault {
+func Plan(r *rand.Rand, duration time.Duration, sizes Sizes) []Fault {
 	var faults []Fault
 	busy := make(map[string]time.Duration) // end of the last fault, by target
 	targets := []string{"entry", "store", "link", "runner"}
@@ -82,9 +85,11 @@
 		f := Fault{Target: targets[r.IntN(len(targets))], Start: at}
 		switch f.Target {
 		case "entry":
-			f.Index = r.IntN(entries)
-		case "link", "runner":
-			f.Index = r.IntN(runners)
+			f.Index = r.IntN(sizes.Entries)
+		case "link":
+			f.Index = r.IntN(sizes.Links)
+		case "runner":
+			f.Index = r.IntN(sizes.Runners)
 		}
 		kinds := kindsByTarget[f.Target]
 		f.Kind = kinds[r.IntN(len(kinds))]
--- a/standin/soak/run.go
+++ b/standin/soak/run.go
@@ -50,13 +50,15 @@
 // Run plays one seed.
 func Run(s Spec) (Result, error) {
 	random := rand.New(rand.NewPCG(s.Seed, 0))
-	x := &execution{Spec: s, group: duty.NewGroup(context.Background()), proxies: make(map[string]*Proxy)}
+	x := &execution{Spec: s, group: duty.NewGroup(context.Background())}
 	defer x.group.Stop()
 	if err := x.startDeployment(); err != nil {
 		return Result{}, err
 	}
 	defer x.deployment.Stop()
-	faults := Plan(random, s.Duration, s.Entries, len(x.deployment.Runners))
+	faults := Plan(random, s.Duration, Sizes{
+		Entries: s.Entries, Runners: len(x.deployment.Runners), Links: len(x.proxies),
+	})
 	x.callers = &callers{start: time.Now()}
 	for _, e := range x.deployment.Entries {
 		x.callers.entries = append(x.callers.entries, e.Callers)
@@ -82,7 +84,7 @@
 	Spec
 	deployment *deploy.Deployment
 	group      *duty.Group // the proxies
-	proxies    map[string]*Proxy
+	proxies    []*Proxy    // of the runners' links, then of the entry VMs' links to the store
 	callers    *callers
 }
 
@@ -110,21 +112,32 @@
 	if err := x.deployment.PutManifest(context.Background(), x.manifest(1, deploy.CallerKey, oldKey)); err != nil {
 		return err
 	}
+	for _, r := range x.deployment.Runners {
+		x.setRunnerFaults(r, runner.Faults{})
+	}
 	return x.deployment.AwaitReady()
 }
 
+// setRunnerFaults sets the faults of a runner. Engines are always crashed by crashPart.
+func (x *execution) setRunnerFaults(r runner.Spec, faults runner.Faults) {
+	if r.Engine {
+		faults.CrashPart = crashPart
+	}
+	x.setFaults(r.Address, faults)
+}
+
 // manifest returns a manifest with a limit that the load does not reach.
 func (x *execution) manifest(version int, keys ...string) any {
 	return deploy.Manifest(version, 400_000, 600_000, keys...)
 }
 
-// addProxy starts the proxy of a runner's link.
-func (x *execution) addProxy(r runner.Spec) (string, error) {
-	p, err := NewProxy(x.group, r.Address)
+// addProxy starts the proxy of a link: that to a runner, or that of an entry VM to the store.
+func (x *execution) addProxy(_, address string) (string, error) {
+	p, err := NewProxy(x.group, address)
 	if err != nil {
 		return "", err
 	}
-	x.proxies[r.ID] = p
+	x.proxies = append(x.proxies, p)
 	return p.Address(), nil
 }
 
@@ -170,7 +183,7 @@
 		lasts()
 		x.setFaults(x.deployment.Store, store.Faults{})
 	case "link":
-		p := x.proxies[x.deployment.Runners[f.Index].ID]
+		p := x.proxies[f.Index]
 		p.SetFault(f.Kind)
 		lasts()
 		p.SetFault("")
@@ -179,9 +192,9 @@
 			RunnerResets: {Reset: 5, BreakAfter: 3}, RunnerSheds: {Shed: 20}, RunnerHangs: {Hang: 3},
 			RunnerLimited: {RateLimit: statedLimit}, RunnerLeaves: {Unlisted: true}, RunnerDrains: {Draining: true},
 		}
-		x.setFaults(x.deployment.Runners[f.Index].Address, faults[f.Kind])
+		x.setRunnerFaults(x.deployment.Runners[f.Index], faults[f.Kind])
 		lasts()
-		x.setFaults(x.deployment.Runners[f.Index].Address, runner.Faults{})
+		x.setRunnerFaults(x.deployment.Runners[f.Index], runner.Faults{})
 	}
 }
 
