Keep the ports of a deployment for itself, and end the soak's processes on a signal

Change: a deployment claims a block of ports for as long as it runs; SIGTERM and SIGINT end a run and its processes.

--- a/standin/cmd/soak/main.go
+++ b/standin/cmd/soak/main.go
@@ -3,13 +3,16 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"maps"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"slices"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -34,7 +37,9 @@
 	if _, err := flags.Parse(&o); err != nil {
 		os.Exit(2)
 	}
-	broken, err := run(o)
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	broken, err := run(ctx, o)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "soak:", err)
 		os.Exit(1)
@@ -46,9 +51,9 @@
 }
 
 // run plays the seeds and returns how many of them broke a promise.
-func run(o options) (broken int, err error) {
+func run(ctx context.Context, o options) (broken int, err error) {
 	for seed := o.Seed; seed < o.Seed+o.Seeds; seed++ {
-		result, err := play(o, seed)
+		result, err := play(ctx, o, seed)
 		if err != nil {
 			return broken, errors.Wrapf(err, "seed %d", seed)
 		}
@@ -73,13 +78,13 @@
 }
 
 // play plays one seed with a temporary folder for the settings.
-func play(o options, seed uint64) (soak.Result, error) {
+func play(ctx context.Context, o options, seed uint64) (soak.Result, error) {
 	dir, err := os.MkdirTemp("", "mangopass-soak")
 	if err != nil {
 		return soak.Result{}, errors.Wrap(err, "create temporary folder")
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
-	return soak.Run(soak.Spec{
+	return soak.Run(ctx, soak.Spec{
 		Binaries: o.Binaries, Dir: dir, Seed: seed, Duration: o.Duration, Entries: o.Entries, Engines: o.Engines,
 		Callers: o.Callers,
 	})
--- a/standin/deploy/deploy.go
+++ b/standin/deploy/deploy.go
@@ -86,6 +86,8 @@
 	mu        sync.Mutex
 	processes []*Process
 	client    *http.Client
+	claim     net.Listener    // on the claim port of the block of ports
+	firstPort int             // of the block
 	allocated map[string]bool // addresses that freeAddress has returned
 }
 
@@ -93,9 +95,12 @@
 // waits for them. The returned deployment may be non-nil even with an error, and must then be stopped too.
 func Start(spec Spec) (*Deployment, error) {
 	d := &Deployment{spec: spec, client: &http.Client{Timeout: 2 * time.Second}, allocated: make(map[string]bool)}
+	if err := d.claimPorts(); err != nil {
+		return nil, err
+	}
 	store, err := d.freeAddress()
 	if err != nil {
-		return nil, err
+		return d, err
 	}
 	d.Store = store
 	if _, err := d.startProcess("store", "standin", "store", "--listen", store); err != nil {
@@ -302,8 +307,9 @@
 	return err == nil && d.status(req) == http.StatusOK
 }
 
-// Stop kills all processes and waits until they have ended.
+// Stop kills all processes, waits until they have ended, and gives up the ports.
 func (d *Deployment) Stop() {
+	defer func() { _ = d.claim.Close() }()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, p := range d.processes {
@@ -312,18 +318,32 @@
 	}
 }
 
-// Range of the deployment's ports. It lies below the range of the system's ephemeral ports, so that no outgoing
-// connection can take a port that a process is about to listen on.
+// Ports of the deployments on this machine. They lie below the range of the system's ephemeral ports, so that no outgoing
+// connection can take a port that a process is about to listen on. Each deployment has a block of ports for itself, which
+// it claims by listening on the block's claim port: the ports of a process that is to start again are free meanwhile.
 const (
-	firstPort = 12000
-	lastPort  = 30000
+	firstPort  = 12000
+	blockPorts = 512
+	blocks     = 35
+	claimPort  = 30000 // of the first block
 )
 
+// claimPorts claims a block of ports until the deployment is stopped.
+func (d *Deployment) claimPorts() error {
+	for _, block := range rand.Perm(blocks) {
+		if l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", claimPort+block)); err == nil {
+			d.claim, d.firstPort = l, firstPort+block*blockPorts
+			return nil
+		}
+	}
+	return errors.New("no free block of ports")
+}
+
 // freeAddress returns a loopback address with a free port that it has not returned before. It returns only even ports,
 // so that an entry VM can use the port after it too.
 func (d *Deployment) freeAddress() (string, error) {
 	for range 100 {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+2*rand.IntN((lastPort-firstPort)/2))
+		address := fmt.Sprintf("127.0.0.1:%d", d.firstPort+2*rand.IntN(blockPorts/2))
 		l, err := net.Listen("tcp", address)
 		if err != nil {
 			continue // in use
@@ -335,5 +355,5 @@
 		d.allocated[address] = true
 		return address, errors.Wrap(l.Close(), "find a free port")
 	}
-	return "", errors.Newf("no free port found between %d and %d", firstPort, lastPort)
+	return "", errors.Newf("no free port found from %d on", d.firstPort)
 }
--- a/standin/soak/run.go
+++ b/standin/soak/run.go
@@ -47,10 +47,10 @@
 	stopTimeout = 12 * time.Second
 )
 
-// Run plays one seed.
-func Run(s Spec) (Result, error) {
+// Run plays one seed. It ends its processes and returns an error if the context ends first.
+func Run(ctx context.Context, s Spec) (Result, error) {
 	random := rand.New(rand.NewPCG(s.Seed, 0))
-	x := &execution{Spec: s, group: duty.NewGroup(context.Background())}
+	x := &execution{Spec: s, ctx: ctx, group: duty.NewGroup(context.Background())}
 	defer x.group.Stop()
 	if err := x.startDeployment(); err != nil {
 		return Result{}, err
@@ -63,7 +63,7 @@
 	for _, e := range x.deployment.Entries {
 		x.callers.entries = append(x.callers.entries, e.Callers)
 	}
-	load := duty.NewGroup(context.Background())
+	load := duty.NewGroup(ctx)
 	for i := range s.Callers {
 		r := rand.New(rand.NewPCG(s.Seed, uint64(i)+1))
 		name := fmt.Sprintf("s%d-c%d", s.Seed, i)
@@ -76,12 +76,16 @@
 	}
 	recovered := x.awaitRecovery()
 	load.Stop()
+	if err := ctx.Err(); err != nil {
+		return Result{}, errors.Wrap(err, "interrupted")
+	}
 	return x.result(faults, revokedAt, recovered)
 }
 
 // execution is a run in progress.
 type execution struct {
 	Spec
+	ctx        context.Context
 	deployment *deploy.Deployment
 	group      *duty.Group // the proxies
 	proxies    []*Proxy    // of the runners' links, then of the entry VMs' links to the store
@@ -144,7 +148,7 @@
 // playFaults starts each fault at its time and ends it. In the middle of the run, it withdraws a key; it returns when the
 // store acknowledged that.
 func (x *execution) playFaults(faults []Fault) (revokedAt time.Duration, err error) {
-	ctx := context.Background()
+	ctx := x.ctx
 	playing := duty.NewGroup(ctx)
 	for _, f := range faults {
 		playing.Go(f.String(), func(ctx context.Context) {
@@ -163,14 +167,14 @@
 		duty.Pause(ctx, f.End-time.Since(x.callers.start))
 	}
 	for len(playing.Names()) > 0 {
-		duty.Pause(ctx, holdPeriod)
+		duty.Pause(context.Background(), holdPeriod)
 	}
 	return revokedAt, nil
 }
 
 // play starts a fault, and ends it when its time is over.
 func (x *execution) play(f Fault) {
-	lasts := func() { duty.Pause(context.Background(), f.End-time.Since(x.callers.start)) }
+	lasts := func() { duty.Pause(x.ctx, f.End-time.Since(x.callers.start)) }
 	switch f.Target {
 	case "entry":
 		x.playEntry(f, lasts)
@@ -228,7 +232,7 @@
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: requestTimeout}
 	deadline := time.Now().Add(recoveryBound)
 	served := 0
-	for n := 0; served < recoveryProbes && time.Now().Before(deadline); n++ {
+	for n := 0; served < recoveryProbes && time.Now().Before(deadline) && x.ctx.Err() == nil; n++ {
 		q := Request{
 			ID: fmt.Sprintf("s%d-probe-%d", x.Seed, n), Route: routes[n%len(routes)], Entry: n % len(probes.entries),
 			Key: deploy.CallerKey,
