Count as tainted in the soak only requests whose prompts have the part

Two faults of the soak: the prompts' last part had an ID of over 64 bits, at which decodePrompt stops, so that crashPart was taken for the request's own part, which is never blocked; and one in 100 requests of all routes counted as tainted, also those to plain services, which have no prompt. Change: the last part is a 32-bit hash, and only streams are tainted.

--- a/standin/soak/callers.go
+++ b/standin/soak/callers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"hash/fnv"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -64,8 +65,9 @@
 	for n := 0; duty.Pause(ctx, time.Duration(r.Int64N(int64(callerPause)))); n++ {
 		q := Request{
 			ID: fmt.Sprintf("%s-%d", name, n), Route: routes[r.IntN(len(routes))], Entry: r.IntN(len(c.entries)),
-			Key: deploy.CallerKey, Tainted: r.IntN(taintedShare) == 0,
+			Key: deploy.CallerKey,
 		}
+		q.Tainted = r.IntN(taintedShare) == 0 && (q.Route == "chat" || q.Route == "draft")
 		if r.IntN(oldKeyShare) == 0 {
 			q.Key = oldKey
 		}
@@ -76,6 +78,17 @@
 	}
 }
 
+// promptOf returns the parts of a stream's prompt: one that all streams share, one that some do, and one of its own.
+func promptOf(q *Request) string {
+	own := fnv.New32a()
+	_, _ = own.Write([]byte(q.ID))
+	shared := fmt.Sprintf("c%d", own.Sum32()%8)
+	if q.Tainted {
+		shared = crashPart
+	}
+	return fmt.Sprintf("a1:8,%s:8,%x:24", shared, own.Sum32())
+}
+
 // all returns the requests so far.
 func (c *callers) all() []Request {
 	c.mu.Lock()
@@ -107,11 +120,7 @@
 	if q.Route == "chat" || q.Route == "draft" {
 		req.Header.Set("X-Mangopass-Model", []string{"tulip", "lily"}[len(q.ID)%2])
 		req.Header.Set("X-Mangopass-Token-Count", "40,24")
-		prompt := fmt.Sprintf("a1:8,c%d:8,%x:24", len(q.ID), q.ID)
-		if q.Tainted {
-			prompt = fmt.Sprintf("a1:8,%s:8,%x:24", crashPart, q.ID)
-		}
-		req.Header.Set("X-Mangopass-Prompt-Prefix", prompt)
+		req.Header.Set("X-Mangopass-Prompt-Prefix", promptOf(q))
 	}
 	resp, err := client.Do(req)
 	if err != nil {
