Check the memory of the entry VMs in the soak

Cause: the soak did not see an entry VM whose memory grows. Change: the largest resident memory of each entry VM's last process must stay under that of the smallest VMs.

--- a/standin/deploy/deploy.go
+++ b/standin/deploy/deploy.go
@@ -14,6 +14,7 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -220,6 +221,20 @@
 // Signal sends a signal to the process; it does nothing if the process has ended.
 func (p *Process) Signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
 
+// PeakMemoryMB returns the largest resident memory of the running process so far, in MB.
+func (p *Process) PeakMemoryMB() (float64, error) {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	if err != nil {
+		return 0, errors.Wrapf(err, "memory of %s", p.Name)
+	}
+	_, line, _ := strings.Cut(string(status), "VmHWM:")
+	var kb float64
+	if _, err := fmt.Sscan(line, &kb); err != nil {
+		return 0, errors.Wrapf(err, "memory of %s", p.Name)
+	}
+	return kb / 1024, nil
+}
+
 // Wait returns the exit code, or an error if the process still runs after the timeout.
 func (p *Process) Wait(timeout time.Duration) (int, error) {
 	_, err := p.done.PopBatchUntil(context.Background(), time.Now().Add(timeout), make([]struct{}, 1))
--- a/standin/soak/check.go
+++ b/standin/soak/check.go
@@ -26,6 +26,8 @@
 	// later than settled.
 	crashLimit  = 5
 	crashedRuns = 3
+	// memoryBound is the memory of the smallest VMs, in MB.
+	memoryBound = 160.0
 	// settled is the time after an unplanned fault in which bounds in time do not hold.
 	settled = 3 * time.Second
 	// heartbeat is the longest time until a change of a runner's entry is in the store.
@@ -43,6 +45,7 @@
 	Requests  []Request
 	Records   []runner.Record // by runner
 	RevokedAt time.Duration   // when the manifest without oldKey was acknowledged; zero: never
+	PeakMB    []float64       // largest memory of each entry VM's last process
 }
 
 // Check returns what breaks a promise, one line each.
@@ -64,6 +67,11 @@
 		c.checkFault(f)
 	}
 	c.checkCrashes()
+	for i, mb := range h.PeakMB {
+		if mb > memoryBound {
+			c.report("entry %d used %.0f MB, want at most %.0f", i, mb, memoryBound)
+		}
+	}
 	return c.broken
 }
 
--- a/standin/soak/run.go
+++ b/standin/soak/run.go
@@ -257,6 +257,13 @@
 		}
 		h.Records = append(h.Records, record)
 	}
+	for _, e := range x.deployment.Entries {
+		mb, err := e.PeakMemoryMB()
+		if err != nil {
+			return Result{}, err
+		}
+		h.PeakMB = append(h.PeakMB, mb)
+	}
 	out := Result{
 		Seed: x.Seed, Faults: faults, Broken: Check(h), Statuses: make(map[string]int), Logs: make(map[string]string),
 	}
