Log the era of the platform's store

Cause: logs and metrics can't tell whether the store has returned from an older copy, nor which revisions a claim or a manifest refers to, so the three hypotheses on restored stores can't be told apart. No decision uses the era yet.

--- a/node/entry/lease.go
+++ b/node/entry/lease.go
@@ -135,7 +135,8 @@
 			{Key: key, Value: value, Lease: l.leaseID}, {Key: keyLastTerm(c.shard), Value: value},
 		},
 	})
-	l.log.Info("claim", "shard", c.shard, "outcome", outcome.String(), "fence", revision)
+	l.log.Info("claim", "shard", c.shard, "outcome", outcome.String(), "fence", revision,
+		"era", l.store.Era(), "holder_revision", c.holderRevision, "last_revision", c.lastRevision)
 	switch outcome {
 	case platform.Applied:
 		change := ownKeyChange{key: key, value: value, revision: revision}
--- a/node/entry/metrics.go
+++ b/node/entry/metrics.go
@@ -113,8 +113,12 @@
 	}
 }
 
-// registerStoreMetrics registers a counter of the calls to the store for each outcome.
+// registerStoreMetrics registers the era of the store and a counter of the calls to it for each outcome.
 func registerStoreMetrics(r prometheus.Registerer, store *platform.Store) {
+	r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Namespace: metrics.Namespace, Name: "store_era",
+		Help: "Era of the platform's store; it rises when the store returns from an older copy.",
+	}, func() float64 { return float64(store.Era()) }))
 	for _, o := range platform.Outcomes() {
 		r.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Namespace: metrics.Namespace, Name: "store_calls_total", Help: "Calls to the platform's store by outcome.",
--- a/node/entry/storechanges.go
+++ b/node/entry/storechanges.go
@@ -16,7 +16,7 @@
 	}
 	if m.manifest != nil {
 		r.changes.Record(link.StoreEntry(*m.manifest))
-		r.applyManifest(m.manifest.Value, now)
+		r.applyManifest(m.manifest.Value, m.manifest.Revision, now)
 	}
 	if r.manifest != nil {
 		r.freshness.Confirm(m.sent)
@@ -54,7 +54,7 @@
 }
 
 // applyManifest puts a manifest in force unless it is malformed or not newer.
-func (r *routing) applyManifest(value []byte, now clock.Instant) {
+func (r *routing) applyManifest(value []byte, revision int64, now clock.Instant) {
 	m, err := platform.DecodeManifest(value)
 	if err != nil {
 		r.log.Error("manifest rejected", "error", err.Error(), "in_force", r.manifestVersion())
@@ -63,7 +63,8 @@
 	if m.Version <= r.manifestVersion() {
 		return
 	}
-	r.log.Info("manifest in force", "version", m.Version, "before", r.manifestVersion())
+	r.log.Info("manifest in force", "version", m.Version, "before", r.manifestVersion(),
+		"revision", revision)
 	r.manifest = m
 	if m.BodyBytes > 0 {
 		r.bodyLimit.Store(m.BodyBytes)
--- a/node/entry/watch.go
+++ b/node/entry/watch.go
@@ -37,6 +37,7 @@
 	answeredAt clock.Instant // last answer of the store; zero: none
 	outage     link.OutageTracker
 	available  bool
+	era        int64 // the store's era in the last answer; zero: none
 }
 
 func (w *watch) run(ctx context.Context) {
@@ -85,6 +86,11 @@
 	} else {
 		entries, revision, outcome, err = w.store.Watch(ctx, "", w.revision, watchWait)
 	}
+	if era := w.store.Era(); era != w.era {
+		w.log.Warn("store era", "era", era, "before", w.era, "revision", revision, "asked_after", w.revision,
+			"outcome", outcome.String())
+		w.era = era
+	}
 	if outcome != platform.Applied {
 		w.handleFailure(outcome, err, clock.Now().Sub(sent))
 		return outcome == platform.Compacted
@@ -94,7 +100,7 @@
 	w.answeredAt = now
 	if !w.available {
 		w.available = true
-		w.log.Info("store available", "revision", revision, "after_outage", w.outage.EndedAt() == now)
+		w.log.Info("store available", "revision", revision, "era", w.era, "after_outage", w.outage.EndedAt() == now)
 	}
 	w.revision = revision
 	change := decodeChange(entries)
@@ -107,7 +113,7 @@
 // handleFailure takes note of a call that failed after the given time.
 func (w *watch) handleFailure(outcome platform.Outcome, err error, took time.Duration) {
 	if outcome == platform.Compacted {
-		w.log.Info("store history lost", "revision", w.revision)
+		w.log.Info("store history lost", "revision", w.revision, "era", w.era)
 		w.revision = 0
 		return
 	}
