--- a/standin/store/http.go
+++ b/standin/store/http.go
@@ -20,6 +20,8 @@
 	LoseWrites bool `json:"lose_writes"` // applies transactions and does not answer them
 	SlowMs     int  `json:"slow_ms"`     // delays every answer by this time
 	Compact    bool `json:"compact"`     // drops the history once, when the faults are set
+	Save       bool `json:"save"`        // saves the state once, when the faults are set
+	Restore    bool `json:"restore"`     // returns to the saved state once, when the faults are set
 }
 
 // leaseCheckInterval is how often a waiting watch looks for ended leases, and so the longest delay until it reports the
@@ -55,6 +57,7 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if !strings.HasPrefix(r.URL.Path, "/standin/") {
 		h.store.CountCall()
+		w = eraWriter{ResponseWriter: w, store: h.store, era: h.store.Era()}
 		h.mu.Lock()
 		f := h.faults
 		h.mu.Unlock()
@@ -195,6 +198,12 @@
 	if f.Compact {
 		h.store.Compact()
 	}
+	if f.Save {
+		h.store.Save()
+	}
+	if f.Restore {
+		h.store.Restore()
+	}
 	h.mu.Lock()
 	h.faults = f
 	h.mu.Unlock()
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -57,11 +57,13 @@
 	lastLease   int64 // id of the newest lease
 	subscribers map[*ring.Ring[struct{}]]struct{}
 	calls       int64
+	era         int64
+	saved       *backup // nil: none
 }
 
 // New returns an empty store.
 func New() *Store {
-	return &Store{revision: 1, items: make(map[string]Item), leases: make(map[int64]*lease), lastLease: 100,
+	return &Store{revision: 1, era: 1, items: make(map[string]Item), leases: make(map[int64]*lease), lastLease: 100,
 		subscribers: make(map[*ring.Ring[struct{}]]struct{})}
 }
 
@@ -90,7 +92,7 @@
 }
 
 // Changes returns the changes under a prefix that are newer than the revision after; ok is false if that part of the
-// history has been compacted. If there are no changes, it subscribes notify, which then gets an item at each change of
+// history has been compacted, or if the store does not have the revision. If there are no changes, it subscribes notify, which then gets an item at each change of
 // any key until Unsubscribe is called.
 func (s *Store) Changes(prefix string, after int64, notify *ring.Ring[struct{}]) (
 	events []Item, revision int64, ok bool,
@@ -98,7 +100,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expireLeases()
-	if after < s.compacted {
+	if after < s.compacted || after > s.revision {
 		return nil, 0, false
 	}
 	for _, it := range s.history {
