Compare positions in the store's history within one era only

Callers saw 401 and 404 on new keys and routes, and withdrawn keys worked, at a VM that was suspended while the store returned from an older copy: it asked for the changes after a revision that had been given out again, and missed those before for good. Cause: a position was a revision, and revisions were compared over the store's whole life: in watches, relays' feeds and leases. Change: positions, leases and transactions name the era in which they hold; the client answers Restored if the store is in another one, and takes an answer of an earlier era for none; the watch then lists everything at once, change logs and feeds are of one era. Why it works: within an era revisions only rise, and any answer of the store tells the era.

--- a/fleet/link/changelog.go
+++ b/fleet/link/changelog.go
@@ -16,6 +16,7 @@
 
 // StoreFeed carries the store's changes from a relay to a VM below it, so that the VM need not watch the store itself.
 type StoreFeed struct {
+	Era      int64 // of the revisions
 	From, To int64 // the entries are all that changed after From, up to To
 	Entries  []StoreEntry
 
@@ -35,8 +36,9 @@
 // maxLogEntries limits the keys in a ChangeLog.
 const maxLogEntries = 4096
 
-// ChangeLog keeps the last change of each key of the platform's store, as far back as it is complete.
+// ChangeLog keeps the last change of each key of the platform's store in its present era, as far back as it is complete.
 type ChangeLog struct {
+	era      int64 // of the revisions below
 	base     int64 // all changes after it are known
 	revision int64 // up to which the changes are known
 	newest   int64 // revision of the newest entry
@@ -46,9 +48,11 @@
 // NewChangeLog returns a log without any change.
 func NewChangeLog() *ChangeLog { return &ChangeLog{entries: make(map[string]StoreEntry)} }
 
-// Restart empties the log after a listing of the whole store at a revision, which does not show what was removed before.
-func (l *ChangeLog) Restart(revision int64) {
-	*l = ChangeLog{base: revision, revision: revision, newest: revision, entries: make(map[string]StoreEntry)}
+// Restart empties the log after a listing of the whole store at a position, which does not show what was removed before.
+func (l *ChangeLog) Restart(at Position) {
+	*l = ChangeLog{
+		era: at.Era, base: at.Revision, revision: at.Revision, newest: at.Revision, entries: make(map[string]StoreEntry),
+	}
 }
 
 // Record adds a change.
@@ -66,20 +70,20 @@
 // Advance states that all changes up to a revision have been recorded, except for those that nobody needs.
 func (l *ChangeLog) Advance(revision int64) { l.revision = max(l.revision, revision) }
 
-// Revision returns the revision up to which the changes are known; zero: none.
-func (l *ChangeLog) Revision() int64 { return l.revision }
+// Position returns the position up to which the changes are known.
+func (l *ChangeLog) Position() Position { return Position{Era: l.era, Revision: l.revision} }
 
-// Since returns the changes after a revision in their order. It returns false if the log does not reach back that far.
-func (l *ChangeLog) Since(revision int64) ([]StoreEntry, bool) {
-	if revision < l.base || l.revision == 0 {
+// Since returns the changes after a position in their order. It returns false if the log does not reach back that far.
+func (l *ChangeLog) Since(p Position) ([]StoreEntry, bool) {
+	if p.Era != l.era || p.Revision < l.base || l.revision == 0 {
 		return nil, false
 	}
-	if revision >= l.newest {
+	if p.Revision >= l.newest {
 		return nil, true
 	}
 	var changes []StoreEntry
 	for _, e := range l.entries {
-		if e.Revision > revision {
+		if e.Revision > p.Revision {
 			changes = append(changes, e)
 		}
 	}
--- a/fleet/link/changelog_test.go
+++ b/fleet/link/changelog_test.go
@@ -9,29 +9,29 @@
 // changed since a revision, without saying so.
 func TestChangeLogIsComplete(t *testing.T) {
 	l := NewChangeLog()
-	if _, ok := l.Since(0); ok {
+	if _, ok := l.Since(Position{Revision: 0}); ok {
 		t.Error("a log that has read nothing counts as complete")
 	}
-	l.Restart(10)
-	if _, ok := l.Since(9); ok {
+	l.Restart(Position{Revision: 10})
+	if _, ok := l.Since(Position{Revision: 9}); ok {
 		t.Error("the log counts as complete before the listing")
 	}
 	for i := range int64(maxLogEntries + 1) {
 		l.Record(StoreEntry{Key: fmt.Sprint("key-", i), Revision: 11 + i})
 		l.Advance(11 + i)
 	}
-	if _, ok := l.Since(10); ok {
+	if _, ok := l.Since(Position{Revision: 10}); ok {
 		t.Error("the log counts as complete although it has dropped entries")
 	}
 	half := int64(11 + maxLogEntries/2)
-	if changes, ok := l.Since(half); !ok || len(changes) != maxLogEntries/2 || changes[0].Revision != half+1 {
+	if changes, ok := l.Since(Position{Revision: half}); !ok || len(changes) != maxLogEntries/2 || changes[0].Revision != half+1 {
 		t.Errorf("%d changes since %d, complete: %v", len(changes), half, ok)
 	}
-	last := l.Revision()
+	last := l.Position().Revision
 	l.Record(StoreEntry{Key: "key-1", Revision: last + 2, Deleted: true})
 	l.Record(StoreEntry{Key: "key-1", Revision: last + 1})
 	l.Advance(last + 2)
-	if changes, ok := l.Since(last); !ok || len(changes) != 1 || !changes[0].Deleted {
+	if changes, ok := l.Since(Position{Revision: last}); !ok || len(changes) != 1 || !changes[0].Deleted {
 		t.Errorf("changes %+v, want only the removal", changes)
 	}
 }
--- /dev/null
+++ b/fleet/link/position.go
@@ -0,0 +1,13 @@
+package link
+
+// Position is a point in the history of the platform's store. The era rises each time the store returns from an older
+// copy of its state: its revisions then go back and are given out again, so that those of two eras can't be compared.
+type Position struct {
+	Era      int64
+	Revision int64 // zero: nothing has been read in the era
+}
+
+// Before reports whether p is earlier than q.
+func (p Position) Before(q Position) bool {
+	return p.Era < q.Era || p.Era == q.Era && p.Revision < q.Revision
+}
--- a/node/entry/feed.go
+++ b/node/entry/feed.go
@@ -21,7 +21,7 @@
 
 // storeFed tells the watch that a relay has passed on all changes up to a revision, and how long the watch may rest.
 type storeFed struct {
-	revision int64
+	position link.Position
 	rest     time.Duration
 }
 
@@ -38,49 +38,53 @@
 // feedFor returns the changes of the store that a VM below has not got yet, with the proof that they are all; nil if
 // the VM has not read the store yet, or if this one does not know what changed since.
 func (r *routing) feedFor(p *peer) *link.StoreFeed {
-	from := max(p.storeRevision, p.fedRevision)
+	from := p.storePosition
 	confirmedAt, confirmed := r.freshness.ConfirmedAt()
-	if p.storeRevision == 0 || !confirmed {
+	if from.Revision == 0 || !confirmed {
 		return nil
 	}
+	if p.fed.Era == from.Era && from.Before(p.fed) {
+		from = p.fed
+	}
 	entries, complete := r.changes.Since(from)
 	if !complete {
 		return nil
 	}
-	p.feedSent = r.changes.Revision()
+	p.feedSent = r.changes.Position()
 	sinceOutage := time.Duration(0)
 	if r.outageEndedAt != 0 {
 		sinceOutage = p.heardAt.Sub(r.outageEndedAt)
 	}
 	return &link.StoreFeed{
-		From: from, To: r.changes.Revision(), Entries: entries, SinceOutage: sinceOutage,
+		Era: from.Era, From: from.Revision, To: p.feedSent.Revision, Entries: entries, SinceOutage: sinceOutage,
 		Boot: p.Boot, Answers: p.sequence, Age: p.heardAt.Sub(confirmedAt),
 	}
 }
 
 // applyFeed applies the store's changes that a relay passes on, if none is missing between them and what this VM knows.
 func (r *routing) applyFeed(f *link.StoreFeed, now clock.Instant) {
-	if f == nil || f.Boot != r.boot || r.changes.Revision() < f.From || f.To < r.changes.Revision() {
+	known := r.changes.Position()
+	if f == nil || f.Boot != r.boot || f.Era != known.Era || known.Revision < f.From || f.To < known.Revision {
 		return
 	}
-	sentAt, known := r.members.sentAt[f.Answers]
-	if !known {
+	sentAt, ok := r.members.sentAt[f.Answers]
+	if !ok {
 		return
 	}
 	proof := min(sentAt.Add(-f.Age), now)
 	var entries []platform.Entry
 	for _, e := range f.Entries {
-		if e.Revision > r.changes.Revision() {
+		if e.Revision > known.Revision {
 			entries = append(entries, platform.Entry(e))
 		}
 	}
 	change := decodeChange(entries)
-	change.revision, change.sent = f.To, proof
+	change.position, change.sent = link.Position{Era: f.Era, Revision: f.To}, proof
 	if f.SinceOutage != 0 {
 		change.outageEndedAt = min(sentAt.Add(-f.SinceOutage), now)
 	}
 	change.apply(r, now)
 	if left := maxFeedAge - now.Sub(proof); left > 0 && r.feeds != nil {
-		r.feeds.TryPush(storeFed{revision: f.To, rest: min(left, r.members.silenceLimit())})
+		r.feeds.TryPush(storeFed{position: change.position, rest: min(left, r.members.silenceLimit())})
 	}
 }
--- a/node/entry/feed_test.go
+++ b/node/entry/feed_test.go
@@ -12,6 +12,9 @@
 	"github.com/mangopass/mangopass/platform"
 )
 
+// at returns a position in the store's era of tests that know of no other.
+func at(revision int64) link.Position { return link.Position{Revision: revision} }
+
 // feedPair is a relay and a VM below it.
 type feedPair struct {
 	t            require
@@ -25,7 +28,7 @@
 	for _, h := range []*harness{f.relay, f.child} {
 		h.apply(storeChanged{
 			manifest: &platform.Entry{Key: platform.KeyManifest, Value: testManifest(1), Revision: 9}, complete: true,
-			revision: 10, sent: h.now,
+			position: at(10), sent: h.now,
 		})
 	}
 	f.relay.addPeerIn("z", "n2", 5)
@@ -59,7 +62,7 @@
 				`{"service":"s","address":"1.1.1.1:1","zone":"z","state":"ready","slots":6,"born":1,"sequence":1}`)},
 			announcement: machine.Announcement{ID: "s1", Service: "s", Address: "1.1.1.1:1", Zone: "z", Slots: 6, Boot: 1},
 		}},
-		revision: 13, sent: f.relay.now,
+		position: at(13), sent: f.relay.now,
 	})
 	f.exchange()
 	if got := f.child.manifestVersion(); got != 2 {
@@ -72,8 +75,8 @@
 	for f.child.feeds.Len() > 0 {
 		fed, _ = f.child.feeds.Pop(t.Context())
 	}
-	if fed.revision != 13 {
-		t.Errorf("the watch rests up to revision %d, want 13", fed.revision)
+	if fed.position.Revision != 13 {
+		t.Errorf("the watch rests up to revision %d, want 13", fed.position.Revision)
 	}
 }
 
@@ -85,15 +88,15 @@
 	for beat := range int64(5) {
 		a.Heartbeat = beat
 		a.Draining = beat == 4
-		f.relay.apply(storeChanged{revision: 20 + beat, sent: f.relay.now, runners: []runnerChange{{
+		f.relay.apply(storeChanged{position: at(20 + beat), sent: f.relay.now, runners: []runnerChange{{
 			id: "s1", entry: platform.Entry{Key: "servers/s1", Revision: 20 + beat}, announcement: a,
 		}}})
 	}
-	if news, ok := f.relay.changes.Since(10); !ok || len(news) != 1 || news[0].Revision != 24 {
+	if news, ok := f.relay.changes.Since(at(10)); !ok || len(news) != 1 || news[0].Revision != 24 {
 		t.Errorf("changes %+v, want only the one that says that the runner is draining", news)
 	}
-	f.relay.apply(storeChanged{revision: 30, sent: f.relay.now})
-	if news, ok := f.relay.changes.Since(24); !ok || len(news) != 0 {
+	f.relay.apply(storeChanged{position: at(30), sent: f.relay.now})
+	if news, ok := f.relay.changes.Since(at(24)); !ok || len(news) != 0 {
 		t.Errorf("changes %+v without one", news)
 	}
 }
@@ -121,7 +124,7 @@
 			f.advance(pause.Draw(t, "pause"))
 			switch rapid.IntRange(0, 5).Draw(t, "event") {
 			case 0:
-				f.relay.apply(storeChanged{revision: f.relay.changes.Revision() + 1, sent: f.relay.now})
+				f.relay.apply(storeChanged{position: at(f.relay.changes.Position().Revision + 1), sent: f.relay.now})
 				newest = f.relay.now
 			case 1:
 				f.child.sendReports(f.child.now)
@@ -155,18 +158,18 @@
 // or knows less than the VM, passes on what it knows.
 func TestFeedWithGapIsIgnored(t *testing.T) {
 	f := newFeedPair(t)
-	f.relay.apply(storeChanged{complete: true, revision: 40, sent: f.relay.now})
+	f.relay.apply(storeChanged{complete: true, position: at(40), sent: f.relay.now})
 	before, _ := f.child.freshness.ConfirmedAt()
 	f.exchange()
-	if at, _ := f.child.freshness.ConfirmedAt(); f.child.changes.Revision() != 10 || at > before {
-		t.Errorf("the VM takes revision %d to be known at %v", f.child.changes.Revision(), at)
+	if at, _ := f.child.freshness.ConfirmedAt(); f.child.changes.Position().Revision != 10 || at > before {
+		t.Errorf("the VM takes revision %d to be known at %v", f.child.changes.Position().Revision, at)
 	}
-	f.child.apply(storeChanged{revision: 41, sent: f.child.now})
-	f.relay.apply(storeChanged{revision: 40, sent: f.relay.now.Add(time.Millisecond)})
+	f.child.apply(storeChanged{position: at(41), sent: f.child.now})
+	f.relay.apply(storeChanged{position: at(40), sent: f.relay.now.Add(time.Millisecond)})
 	known := f.child.now
 	f.exchange()
-	if at, _ := f.child.freshness.ConfirmedAt(); f.child.changes.Revision() != 41 || at > known {
-		t.Errorf("revision %d after the feed of a relay that knows 40, confirmed at %v", f.child.changes.Revision(), at)
+	if at, _ := f.child.freshness.ConfirmedAt(); f.child.changes.Position().Revision != 41 || at > known {
+		t.Errorf("revision %d after the feed of a relay that knows 40, confirmed at %v", f.child.changes.Position().Revision, at)
 	}
 }
 
--- a/node/entry/lease.go
+++ b/node/entry/lease.go
@@ -31,8 +31,8 @@
 	entry   nodeEntry
 	ttl     time.Duration
 
-	leaseID      platform.LeaseID // zero: no lease
-	entryWritten bool             // this VM's entry has been written under the lease
+	lease        platform.Lease // the zero one: none
+	entryWritten bool           // this VM's entry has been written under the lease
 }
 
 func (l *leaseKeeper) run(ctx context.Context) {
@@ -49,7 +49,7 @@
 		}
 		l.renewLease(ctx)
 		next = time.Now().Add(renewPeriod)
-		if l.leaseID == 0 || !l.entryWritten {
+		if l.lease.ID == 0 || !l.entryWritten {
 			next = time.Now().Add(retryPause)
 		}
 	}
@@ -58,33 +58,33 @@
 // renewLease renews the lease, or obtains a new one and writes this VM's entry under it.
 func (l *leaseKeeper) renewLease(ctx context.Context) {
 	sent := clock.Now()
-	if l.leaseID == 0 {
-		id, ttl, outcome, err := l.store.Grant(ctx, l.ttl)
+	if l.lease.ID == 0 {
+		lease, ttl, outcome, err := l.store.Grant(ctx, l.ttl)
 		if outcome != platform.Applied {
 			l.logFailure("grant", outcome, err)
 			return
 		}
-		l.leaseID, l.entryWritten = id, false
+		l.lease, l.entryWritten = lease, false
 		l.reportRenewal(ctx, sent.Add(ttl))
 	} else {
-		ttl, outcome, err := l.store.Renew(ctx, l.leaseID)
+		ttl, outcome, err := l.store.Renew(ctx, l.lease)
 		switch outcome {
 		case platform.Applied:
 			l.reportRenewal(ctx, sent.Add(ttl))
-		case platform.NotFound:
+		case platform.NotFound, platform.Restored:
 			l.dropLease(ctx)
 		default:
 			l.logFailure("renew", outcome, err)
 		}
 	}
-	if l.leaseID != 0 && !l.entryWritten {
+	if l.lease.ID != 0 && !l.entryWritten {
 		l.writeEntry(ctx)
 	}
 }
 
 // dropLease gives up a lease that the store no longer has, and the terms under it.
 func (l *leaseKeeper) dropLease(ctx context.Context) {
-	l.leaseID = 0
+	l.lease = platform.Lease{}
 	l.log.Warn("lease lost")
 	_ = l.routing.Push(ctx, leaseLost{}) // fails only when the process stops
 }
@@ -94,13 +94,13 @@
 }
 
 func (l *leaseKeeper) writeEntry(ctx context.Context) {
-	_, outcome, err := l.store.Commit(ctx, platform.Txn{Writes: []platform.Write{
-		{Key: prefixNodes + l.node, Value: marshal(l.entry), Lease: l.leaseID},
+	_, outcome, err := l.store.Commit(ctx, platform.Txn{Era: l.lease.Era, Writes: []platform.Write{
+		{Key: prefixNodes + l.node, Value: marshal(l.entry), Lease: l.lease},
 	}})
 	switch outcome {
 	case platform.Applied:
 		l.entryWritten = true
-	case platform.NotFound:
+	case platform.NotFound, platform.Restored:
 		l.dropLease(ctx)
 	default:
 		l.logFailure("list", outcome, err)
@@ -113,13 +113,13 @@
 
 // commitClaim writes or removes a holder key. If a claim gets no answer, the watch shows whether it took effect.
 func (l *leaseKeeper) commitClaim(ctx context.Context, c claim) {
-	if l.leaseID == 0 {
+	if l.lease.ID == 0 {
 		return
 	}
 	key := keyHolder(c.shard)
 	if c.release {
 		_, outcome, err := l.store.Commit(ctx, platform.Txn{
-			Conditions: []platform.Condition{{Key: key, Revision: c.holderRevision}}, Removes: []string{key},
+			Era: l.lease.Era, Conditions: []platform.Condition{{Key: key, Revision: c.holderRevision}}, Removes: []string{key},
 		})
 		if outcome != platform.Applied {
 			l.logFailure("give up term", outcome, err)
@@ -128,11 +128,11 @@
 	}
 	value := marshal(holderEntry{Node: l.node, Address: l.entry.Address, Boot: l.entry.Boot})
 	revision, outcome, err := l.store.Commit(ctx, platform.Txn{
-		Conditions: []platform.Condition{
+		Era: l.lease.Era, Conditions: []platform.Condition{
 			{Key: key, Revision: c.holderRevision}, {Key: keyLastTerm(c.shard), Revision: c.lastRevision},
 		},
 		Writes: []platform.Write{
-			{Key: key, Value: value, Lease: l.leaseID}, {Key: keyLastTerm(c.shard), Value: value},
+			{Key: key, Value: value, Lease: l.lease}, {Key: keyLastTerm(c.shard), Value: value},
 		},
 	})
 	l.log.Info("claim", "shard", c.shard, "outcome", outcome.String(), "fence", revision,
--- a/node/entry/members.go
+++ b/node/entry/members.go
@@ -49,9 +49,9 @@
 	roleSince     clock.Instant // when that began
 	avoidUntil    clock.Instant // it is not chosen as a relay before
 	failures      int           // reports to it in a row without an answer
-	storeRevision int64         // up to which it knows the store's changes, as last stated
-	fedRevision   int64         // up to which this VM has passed them on
-	feedSent      int64         // up to which the report under way passes them on
+	storePosition link.Position // up to which it knows the store's changes, as last stated
+	fed           link.Position // up to which this VM has passed them on
+	feedSent      link.Position // up to which the report under way passes them on
 	complete      bool          // a complete report of it has been applied in this role
 
 	sentAt            clock.Instant // time of the last report to it
--- a/node/entry/message.go
+++ b/node/entry/message.go
@@ -127,7 +127,7 @@
 	manifest *platform.Entry // nil: no change
 	runners  []runnerChange
 	ownKeys  []ownKeyChange
-	revision int64         // the changes up to it are known now
+	position link.Position // the changes up to it are known now
 	complete bool          // a full listing: what it does not name does not exist
 	sent     clock.Instant // when the call that returned them was sent
 
--- a/node/entry/partkeeper.go
+++ b/node/entry/partkeeper.go
@@ -35,6 +35,7 @@
 // partWrite is a change of a blocked part's key, if it still has the given revision.
 type partWrite struct {
 	part     uint64
+	era      int64 // of the revision
 	revision int64
 	blocks   int // zero: the key is removed
 }
@@ -53,7 +54,7 @@
 			return
 		}
 		key := prefixBlocked + strconv.FormatUint(w.part, 16)
-		txn := platform.Txn{Conditions: []platform.Condition{{Key: key, Revision: w.revision}}}
+		txn := platform.Txn{Era: w.era, Conditions: []platform.Condition{{Key: key, Revision: w.revision}}}
 		if w.blocks > 0 {
 			txn.Writes = []platform.Write{{Key: key, Value: marshal(partEntry{Blocks: w.blocks})}}
 		} else {
@@ -105,12 +106,12 @@
 		blocked[b.Part] = true
 		stored := r.storedParts[b.Part]
 		if stored.blocks != b.Blocks && (stored.revision != 0 || len(r.storedParts) < maxStoredParts) {
-			r.partWrites.TryPush(partWrite{part: b.Part, revision: stored.revision, blocks: b.Blocks})
+			r.partWrites.TryPush(partWrite{part: b.Part, era: r.era, revision: stored.revision, blocks: b.Blocks})
 		}
 	}
 	for part, stored := range r.storedParts {
 		if !blocked[part] {
-			r.partWrites.TryPush(partWrite{part: part, revision: stored.revision})
+			r.partWrites.TryPush(partWrite{part: part, era: r.era, revision: stored.revision})
 		}
 	}
 }
--- a/node/entry/reports.go
+++ b/node/entry/reports.go
@@ -115,7 +115,8 @@
 		p.allSentAt = now
 	}
 	report.Whole, report.Incomplete = p.needsAll, !p.complete
-	report.Series, report.StoreRevision = p.series, r.changes.Revision()
+	known := r.changes.Position()
+	report.Series, report.StoreEra, report.StoreRevision = p.series, known.Era, known.Revision
 	switch p.role {
 	case link.Parent:
 		r.members.noteSent(report.Sequence, now)
@@ -189,7 +190,7 @@
 	}
 	p.reportPending = false
 	if !m.ok {
-		p.needsAll, p.fedRevision = true, 0 // whether the peer has applied the report is unknown
+		p.needsAll, p.fed = true, link.Position{} // whether the peer has applied the report is unknown
 		p.partUpdates.add(p.partUpdatesSent)
 		if p.failures++; p.failures >= maxDeliveryFailures {
 			p.avoidUntil = now.Add(avoidTime)
@@ -198,7 +199,7 @@
 	}
 	p.failures = 0
 	if m.role == p.role && m.series == p.series {
-		p.knownVersion, p.fedRevision = m.version, p.feedSent
+		p.knownVersion, p.fed = m.version, p.feedSent
 		for organisation := range p.reportedUsage {
 			if q := r.quotas[organisation]; q != nil {
 				q.Confirm(m.node)
@@ -224,7 +225,8 @@
 		return
 	}
 	p.sequence, p.heardAt, p.stopping = in.Sequence, now, in.Stopping
-	p.seesUsAs, p.planner, p.storeRevision = in.Receiver, in.Planner, in.StoreRevision
+	p.seesUsAs, p.planner = in.Receiver, in.Planner
+	p.storePosition = link.Position{Era: in.StoreEra, Revision: in.StoreRevision}
 	if in.Relay != in.Node && p.Zone != r.zone {
 		p.avoidUntil = now.Add(avoidTime) // no longer the relay of its zone
 	}
--- a/node/entry/routing.go
+++ b/node/entry/routing.go
@@ -51,6 +51,7 @@
 
 	manifest         *contract.Manifest
 	freshness        link.Freshness
+	era              int64                // newest era of the store in an answer; noEra: none yet
 	changes          *link.ChangeLog      // of the store, as far as the VMs below need them
 	feeds            *ring.Ring[storeFed] // to the watch
 	outageEndedAt    clock.Instant        // end of the last outage of the store; zero: none
@@ -92,6 +93,7 @@
 		r.leader.shards[k].holderKey.gone = true
 	}
 	r.members.peers, r.members.relay, r.members.planner = make(map[string]*peer), r.node, r.node
+	r.era = noEra
 	r.members.series, r.members.sentAt = boot, make(map[uint64]clock.Instant)
 	r.bodyLimit.Store(defaultBodyBytes)
 	return r
--- a/node/entry/storechanges.go
+++ b/node/entry/storechanges.go
@@ -10,9 +10,12 @@
 
 // apply applies what the watch has read from the platform's store, or a relay has passed on.
 func (m storeChanged) apply(r *routing, now clock.Instant) {
+	if !r.enterEra(m.position.Era, now) {
+		return
+	}
 	r.outageEndedAt = max(r.outageEndedAt, m.outageEndedAt)
 	if m.complete {
-		r.changes.Restart(m.revision)
+		r.changes.Restart(m.position)
 	}
 	if m.manifest != nil {
 		r.changes.Record(link.StoreEntry(*m.manifest))
@@ -41,7 +44,7 @@
 	for _, c := range m.ownKeys {
 		r.changes.Record(link.StoreEntry{Key: c.key, Value: c.value, Revision: c.revision, Deleted: c.gone})
 	}
-	r.changes.Advance(m.revision)
+	r.changes.Advance(m.position.Revision)
 	r.applyOwnKeys(m.ownKeys, m.complete, now)
 }
 
--- a/node/entry/storechanges_test.go
+++ b/node/entry/storechanges_test.go
@@ -53,12 +53,12 @@
 		ended := f.relay.now
 		for range after / (100 * time.Millisecond) {
 			f.advance(100 * time.Millisecond)
-			f.relay.apply(storeChanged{sent: f.relay.now, revision: f.relay.changes.Revision(), outageEndedAt: ended})
+			f.relay.apply(storeChanged{sent: f.relay.now, position: f.relay.changes.Position(), outageEndedAt: ended})
 			f.exchange()
 		}
-		revision := f.relay.changes.Revision() + 1
+		revision := f.relay.changes.Position().Revision + 1
 		f.relay.apply(storeChanged{
-			sent: f.relay.now, revision: revision, outageEndedAt: ended, runners: []runnerChange{{
+			sent: f.relay.now, position: at(revision), outageEndedAt: ended, runners: []runnerChange{{
 				id: "e0", gone: true, entry: platform.Entry{Key: platform.PrefixRunners + "e0", Revision: revision, Deleted: true},
 			}},
 		})
--- a/node/entry/tree.go
+++ b/node/entry/tree.go
@@ -110,7 +110,7 @@
 	p.needsAll, p.complete, p.failures = true, false, 0
 	clear(p.reportedUsage)
 	clear(p.reportedLimits)
-	p.membersSent, p.fedRevision, p.feedSent = 0, 0, 0
+	p.membersSent, p.fed, p.feedSent = 0, link.Position{}, link.Position{}
 	p.partUpdates, p.partUpdatesSent = partUpdates{}, partUpdates{}
 	if role == link.Unrelated {
 		r.table.SetPeer(name, nil)
--- a/node/entry/watch.go
+++ b/node/entry/watch.go
@@ -33,20 +33,15 @@
 	feeds   *ring.Ring[storeFed]
 	log     *slog.Logger
 
-	revision   int64         // the next watch continues from here; zero: list everything first
+	position   link.Position // the next watch continues from here; no revision: list everything first
 	answeredAt clock.Instant // last answer of the store; zero: none
 	outage     link.OutageTracker
 	available  bool
-	era        int64 // the store's era in the last answer; zero: none
 }
 
 func (w *watch) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause := retryPause
-		if w.poll(ctx) {
-			pause = watchPause
-		}
-		if !w.rest(ctx, pause) {
+		if !w.rest(ctx, w.poll(ctx)) {
 			return
 		}
 	}
@@ -65,57 +60,56 @@
 		if n == 0 {
 			return true
 		}
-		if fed := buf[0]; w.revision != 0 && fed.revision >= w.revision {
-			w.revision, w.answeredAt = fed.revision, clock.Now()
+		if fed := buf[0]; w.position.Revision != 0 && fed.position.Era == w.position.Era && !fed.position.Before(w.position) {
+			w.position, w.answeredAt = fed.position, clock.Now()
 			w.outage.Reset()
 			deadline = time.Now().Add(fed.rest)
 		}
 	}
 }
 
-// poll makes one call to the store and passes the result to the routing duty. It reports whether the store answered.
-func (w *watch) poll(ctx context.Context) bool {
+// poll makes one call to the store and passes the result to the routing duty. It returns the pause until the next call.
+func (w *watch) poll(ctx context.Context) time.Duration {
 	sent := clock.Now()
-	complete := w.revision == 0
+	complete := w.position.Revision == 0
 	var entries []platform.Entry
-	var revision int64
+	var position link.Position
 	var outcome platform.Outcome
 	var err error
 	if complete {
-		entries, revision, outcome, err = w.store.List(ctx, "")
+		entries, position, outcome, err = w.store.List(ctx, "")
 	} else {
-		entries, revision, outcome, err = w.store.Watch(ctx, "", w.revision, watchWait)
-	}
-	if era := w.store.Era(); era != w.era {
-		w.log.Warn("store era", "era", era, "before", w.era, "revision", revision, "asked_after", w.revision,
-			"outcome", outcome.String())
-		w.era = era
+		entries, position, outcome, err = w.store.Watch(ctx, "", w.position, watchWait)
 	}
 	if outcome != platform.Applied {
-		w.handleFailure(outcome, err, clock.Now().Sub(sent))
-		return outcome == platform.Compacted
+		return w.handleFailure(outcome, err, clock.Now().Sub(sent))
 	}
 	now := clock.Now()
 	w.outage.Answered(now)
 	w.answeredAt = now
 	if !w.available {
 		w.available = true
-		w.log.Info("store available", "revision", revision, "era", w.era, "after_outage", w.outage.EndedAt() == now)
+		w.log.Info("store available", "revision", position.Revision, "era", position.Era, "after_outage", w.outage.EndedAt() == now)
 	}
-	w.revision = revision
+	w.position = position
 	change := decodeChange(entries)
-	change.complete, change.sent, change.revision = complete, sent, revision
+	change.complete, change.sent, change.position = complete, sent, position
 	change.outageEndedAt = w.outage.EndedAt()
 	_ = w.routing.Push(ctx, change) // fails only when the process stops
-	return true
+	return watchPause
 }
 
-// handleFailure takes note of a call that failed after the given time.
-func (w *watch) handleFailure(outcome platform.Outcome, err error, took time.Duration) {
-	if outcome == platform.Compacted {
-		w.log.Info("store history lost", "revision", w.revision, "era", w.era)
-		w.revision = 0
-		return
+// handleFailure takes note of a call that failed after the given time. It returns the pause until the next call.
+func (w *watch) handleFailure(outcome platform.Outcome, err error, took time.Duration) time.Duration {
+	switch outcome {
+	case platform.Compacted:
+		w.log.Info("store history lost", "revision", w.position.Revision, "era", w.position.Era)
+		w.position = link.Position{}
+		return watchPause
+	case platform.Restored:
+		w.log.Warn("store era", "era", w.store.Era(), "before", w.position.Era, "revision", w.position.Revision)
+		w.position = link.Position{}
+		return 0
 	}
 	w.outage.Failed(took, watchWait+platform.StoreCallTimeout, retryPause)
 	if w.available {
@@ -123,8 +117,9 @@
 		w.log.Warn("store unavailable", "outcome", outcome.String(), "error", errorText(err))
 	}
 	if w.answeredAt != 0 && clock.Now().Sub(w.answeredAt) > maxGap {
-		w.revision = 0 // changes may have been missed: list everything again
+		w.position = link.Position{} // changes may have been missed: list everything again
 	}
+	return retryPause
 }
 
 // decodeChange groups entries into the manifest, the runners and mangopass's own keys; it ignores others.
