Take a restored store's manifest for the newest only once it has settled

Callers with a withdrawn key were served by a VM that had missed the removal while suspended: the store had returned from a copy with an older manifest, and the VM took that for proof that it knew the newest. Cause: each answer of the store counted as proof of freshness, also when it might show the copy. The planner records in the store that the era has settled, so that VMs that start later need not wait. The duty that wrote blocked prompt parts now writes both kinds of keys.

--- a/fleet/link/position.go
+++ b/fleet/link/position.go
@@ -7,6 +7,10 @@
 	Revision int64 // zero: nothing has been read in the era
 }
 
+// FirstEra is the store's era until it returns from an older copy for the first time. A store that states no era is in
+// era zero for good.
+const FirstEra = 1
+
 // Before reports whether p is earlier than q.
 func (p Position) Before(q Position) bool {
 	return p.Era < q.Era || p.Era == q.Era && p.Revision < q.Revision
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -105,13 +105,13 @@
 	r.leader.orders = ring.New[orderJob]("orders", ordersCapacity)
 	r.leader.claims = ring.New[claim]("claims", 2*machine.Shards)
 	r.feeds = ring.New[storeFed]("feeds", feedsCapacity)
-	r.partWrites = ring.New[partWrite]("parts", partWriteCapacity)
+	r.keyWrites = ring.New[keyWrite]("keys", keyWriteCapacity)
 	r.members.startLink = e.startPeerLink
 	metrics.RegisterRing(registry, r.intake)
 	metrics.RegisterRing(registry, r.leader.orders)
 	metrics.RegisterRing(registry, r.leader.claims)
 	metrics.RegisterRing(registry, r.feeds)
-	metrics.RegisterRing(registry, r.partWrites)
+	metrics.RegisterRing(registry, r.keyWrites)
 	e.sink.RegisterMetrics(registry)
 	e.group.Go("routing", r.run)
 	for range orderDuties {
@@ -127,7 +127,7 @@
 		path: e.settingsPath, text: e.settingsText, store: store, routing: r.intake, log: e.log,
 	}
 	e.group.Go("reload", reloader.run)
-	e.group.Go("parts", (&partKeeper{store: store, writes: r.partWrites, log: e.log}).run)
+	e.group.Go("keys", (&keyWriter{store: store, writes: r.keyWrites, log: e.log}).run)
 	e.group.Go("watch", (&watch{store: store, routing: r.intake, feeds: r.feeds, log: e.log}).run)
 }
 
--- a/node/entry/members.go
+++ b/node/entry/members.go
@@ -168,6 +168,7 @@
 			p.registered = false
 		}
 		clear(r.storedParts)
+		r.era.revision = 0
 	}
 	present := [machine.Shards]bool{}
 	for _, c := range changes {
@@ -183,6 +184,8 @@
 			r.applyNode(name, c, now)
 		} else if strings.HasPrefix(c.key, prefixBlocked) {
 			r.applyStoredPart(c, now)
+		} else if c.key == keySettledEra {
+			r.applySettledEra(c)
 		}
 	}
 	if !complete {
--- a/node/entry/partkeeper.go
+++ b/node/entry/partkeeper.go
@@ -1,17 +1,13 @@
 package entry
 
 import (
-	"context"
 	"encoding/json"
-	"log/slog"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/mangopass/mangopass/duty/clock"
-	"github.com/mangopass/mangopass/duty/ring"
 	"github.com/mangopass/mangopass/fleet/link"
-	"github.com/mangopass/mangopass/platform"
 )
 
 const (
@@ -22,8 +18,6 @@
 	partWritePeriod = 3 * time.Second
 	// maxStoredParts limits the blocked parts in the store.
 	maxStoredParts = 64
-	// partWriteCapacity is the number of writes that can wait for the duty.
-	partWriteCapacity = 2 * maxStoredParts
 )
 
 // partEntry is the value of a blocked part's key. It states no time: a VM that starts blocks the part for as long as it was
@@ -32,40 +26,6 @@
 	Blocks int `json:"blocks"` // times that the part was blocked in a row
 }
 
-// partWrite is a change of a blocked part's key, if it still has the given revision.
-type partWrite struct {
-	part     uint64
-	era      int64 // of the revision
-	revision int64
-	blocks   int // zero: the key is removed
-}
-
-// partKeeper is the duty that writes the blocked prompt parts to the platform's store. The watch shows what was written.
-type partKeeper struct {
-	store  *platform.Store
-	writes *ring.Ring[partWrite]
-	log    *slog.Logger
-}
-
-func (k *partKeeper) run(ctx context.Context) {
-	for {
-		w, err := k.writes.Pop(ctx)
-		if err != nil {
-			return
-		}
-		key := prefixBlocked + strconv.FormatUint(w.part, 16)
-		txn := platform.Txn{Era: w.era, Conditions: []platform.Condition{{Key: key, Revision: w.revision}}}
-		if w.blocks > 0 {
-			txn.Writes = []platform.Write{{Key: key, Value: marshal(partEntry{Blocks: w.blocks})}}
-		} else {
-			txn.Removes = []string{key}
-		}
-		if _, outcome, err := k.store.Commit(ctx, txn); outcome != platform.Applied && outcome != platform.Conflict {
-			k.log.Warn("blocked part not written", "key", key, "outcome", outcome.String(), "error", errorText(err))
-		}
-	}
-}
-
 // storedPart is a blocked part's key as last read.
 type storedPart struct {
 	revision int64
@@ -96,7 +56,7 @@
 
 // recordBlockedParts brings the store up to date with the blocked parts. Only the planner does so.
 func (r *routing) recordBlockedParts(now clock.Instant) {
-	if r.partWrites == nil || r.members.planner != r.node || !r.leader.ownKeysRead ||
+	if r.keyWrites == nil || r.members.planner != r.node || !r.leader.ownKeysRead ||
 		now.Sub(r.partsRecordedAt) < partWritePeriod && r.partsRecorded == r.promptParts.Version() {
 		return
 	}
@@ -106,12 +66,19 @@
 		blocked[b.Part] = true
 		stored := r.storedParts[b.Part]
 		if stored.blocks != b.Blocks && (stored.revision != 0 || len(r.storedParts) < maxStoredParts) {
-			r.partWrites.TryPush(partWrite{part: b.Part, era: r.era, revision: stored.revision, blocks: b.Blocks})
+			r.writePart(b.Part, stored.revision, partEntry{Blocks: b.Blocks})
 		}
 	}
 	for part, stored := range r.storedParts {
 		if !blocked[part] {
-			r.partWrites.TryPush(partWrite{part: part, era: r.era, revision: stored.revision})
+			r.writePart(part, stored.revision, nil)
 		}
 	}
 }
+
+// writePart changes the key of a blocked part; without a value, it removes the key.
+func (r *routing) writePart(part uint64, revision int64, value any) {
+	r.keyWrites.TryPush(keyWrite{
+		key: prefixBlocked + strconv.FormatUint(part, 16), era: r.era.newest, revision: revision, value: value,
+	})
+}
--- a/node/entry/parts_test.go
+++ b/node/entry/parts_test.go
@@ -183,16 +183,21 @@
 	}
 }
 
+// partKey returns the write of a blocked part's key, or its removal.
+func partKey(part uint64, revision int64, value any) keyWrite {
+	return keyWrite{key: fmt.Sprintf("%s%x", prefixBlocked, part), revision: revision, value: value}
+}
+
 // TestBlockedPartsAreStored guards against a part that crashes runners again after all VMs have started anew, and against
 // keys that stay in the store when their parts are no longer blocked, or that nobody can read.
 func TestBlockedPartsAreStored(t *testing.T) {
 	h := newHarness()
-	h.partWrites = ring.New[partWrite]("parts", 8)
+	h.keyWrites = ring.New[keyWrite]("keys", 8)
 	h.setUp()
 	h.announceEngines(9)
 	h.crashRunners(3)
-	write, err := h.partWrites.Pop(t.Context())
-	if err != nil || write != (partWrite{part: crashingPart, blocks: 1}) {
+	write, err := h.keyWrites.Pop(t.Context())
+	if err != nil || write != partKey(crashingPart, 0, partEntry{Blocks: 1}) {
 		t.Fatalf("write %+v, error %v; want part %d blocked for the first time", write, err, crashingPart)
 	}
 	stored := ownKeyChange{key: prefixBlocked + "2", value: marshal(partEntry{Blocks: 1}), revision: 7}
@@ -200,12 +205,12 @@
 	h.now = h.now.Add(2 * partWritePeriod)
 	h.apply(storeChanged{sent: h.now})
 	h.onTick(h.now)
-	if h.partWrites.Len() != 0 {
+	if h.keyWrites.Len() != 0 {
 		t.Error("the part is written again although it is in the store")
 	}
 
 	fresh := newHarness()
-	fresh.partWrites = ring.New[partWrite]("parts", 8)
+	fresh.keyWrites = ring.New[keyWrite]("keys", 8)
 	fresh.setUp()
 	fresh.apply(storeChanged{sent: fresh.now, ownKeys: []ownKeyChange{
 		stored, {key: prefixBlocked + "3", value: []byte("{"), revision: 8}, {key: prefixBlocked + "x", revision: 9},
@@ -214,15 +219,15 @@
 	_, d := fresh.admitPrompt(200, sharedPart, crashingPart)
 	wantRefusal(t, d, contract.CrashSuspect, false)
 	fresh.onTick(fresh.now)
-	if write, err := fresh.partWrites.Pop(t.Context()); err != nil || write != (partWrite{part: 3, revision: 8}) {
+	if write, err := fresh.keyWrites.Pop(t.Context()); err != nil || write != partKey(3, 8, nil) {
 		t.Errorf("write %+v, error %v; want the removal of the malformed key", write, err)
 	}
 	fresh.partsCompleted([]uint64{crashingPart}, "", fresh.now)
 	fresh.onTick(fresh.now)
 	removed := false
-	for fresh.partWrites.Len() > 0 {
-		write, err = fresh.partWrites.Pop(t.Context())
-		removed = removed || err == nil && write == (partWrite{part: crashingPart, revision: 7})
+	for fresh.keyWrites.Len() > 0 {
+		write, err = fresh.keyWrites.Pop(t.Context())
+		removed = removed || err == nil && write == partKey(crashingPart, 7, nil)
 	}
 	if !removed {
 		t.Error("the part that has proved sound is not removed from the store")
--- a/node/entry/routing.go
+++ b/node/entry/routing.go
@@ -51,7 +51,8 @@
 
 	manifest         *contract.Manifest
 	freshness        link.Freshness
-	era              int64                // newest era of the store in an answer; noEra: none yet
+	era              storeEra
+	manifestAt       link.Position        // of the last write of the manifest in force
 	changes          *link.ChangeLog      // of the store, as far as the VMs below need them
 	feeds            *ring.Ring[storeFed] // to the watch
 	outageEndedAt    clock.Instant        // end of the last outage of the store; zero: none
@@ -63,7 +64,7 @@
 	crashes          *link.CrashTracker
 	promptParts      *link.PartTracker
 	storedParts      map[uint64]storedPart // blocked parts in the platform's store
-	partWrites       *ring.Ring[partWrite] // to the part keeper
+	keyWrites        *ring.Ring[keyWrite]  // to the key writer
 	partsRecordedAt  clock.Instant         // last comparison of the blocked parts with those in the store
 	partsRecorded    uint64                // version of the blocked parts at that time
 	crashesExpiredAt clock.Instant
@@ -93,7 +94,7 @@
 		r.leader.shards[k].holderKey.gone = true
 	}
 	r.members.peers, r.members.relay, r.members.planner = make(map[string]*peer), r.node, r.node
-	r.era = noEra
+	r.era.newest = noEra
 	r.members.series, r.members.sentAt = boot, make(map[uint64]clock.Instant)
 	r.bodyLimit.Store(defaultBodyBytes)
 	return r
@@ -133,6 +134,7 @@
 		r.log.Info("runner gone", "runner", id, "reason", "entry did not come back after the store's outage")
 	}
 	r.reviewParts(now)
+	r.recordSettledEra(now)
 	r.dispatchWaiting(now)
 	r.checkTerms(now)
 	r.schedule(now)
--- a/node/entry/storechanges.go
+++ b/node/entry/storechanges.go
@@ -19,10 +19,7 @@
 	}
 	if m.manifest != nil {
 		r.changes.Record(link.StoreEntry(*m.manifest))
-		r.applyManifest(m.manifest.Value, m.manifest.Revision, now)
-	}
-	if r.manifest != nil {
-		r.freshness.Confirm(m.sent)
+		r.noteWritten(m, r.applyManifest(m.manifest.Value, m.manifest.Revision, now))
 	}
 	present := make(map[machine.RunnerID]bool, len(m.runners))
 	for _, change := range m.runners {
@@ -46,6 +43,24 @@
 	}
 	r.changes.Advance(m.position.Revision)
 	r.applyOwnKeys(m.ownKeys, m.complete, now)
+	if r.manifest != nil {
+		r.freshness.Confirm(m.sent)
+	}
+}
+
+// noteWritten records the last write of the manifest in force, which a change shows or not. One in the store's present era
+// proves that the operators have written again what an older copy lacked. A listing shows such a write only if this VM
+// knows the revision that the same manifest had before.
+func (r *routing) noteWritten(m storeChanged, shown manifestChange) {
+	at := link.Position{Era: m.position.Era, Revision: m.manifest.Revision}
+	moved := shown == manifestSame && r.manifestAt.Era < at.Era && r.manifestAt.Revision != at.Revision
+	if shown == manifestOther {
+		return
+	}
+	if !m.complete || moved {
+		r.freshness.Settle()
+	}
+	r.manifestAt = at
 }
 
 // isNews reports whether a runner's entry says more than that the runner lives, or what it holds: its leader reports
@@ -56,15 +71,27 @@
 		!runner.SameAs(change.announcement)
 }
 
+// manifestChange is what became of a manifest that was read.
+type manifestChange int
+
+const (
+	manifestOther manifestChange = iota // malformed, or older than the one in force
+	manifestSame                        // of the version in force
+	manifestNew                         // now in force
+)
+
 // applyManifest puts a manifest in force unless it is malformed or not newer.
-func (r *routing) applyManifest(value []byte, revision int64, now clock.Instant) {
+func (r *routing) applyManifest(value []byte, revision int64, now clock.Instant) manifestChange {
 	m, err := platform.DecodeManifest(value)
 	if err != nil {
 		r.log.Error("manifest rejected", "error", err.Error(), "in_force", r.manifestVersion())
-		return
+		return manifestOther
 	}
-	if m.Version <= r.manifestVersion() {
-		return
+	switch {
+	case m.Version < r.manifestVersion():
+		return manifestOther
+	case m.Version == r.manifestVersion():
+		return manifestSame
 	}
 	r.log.Info("manifest in force", "version", m.Version, "before", r.manifestVersion(),
 		"revision", revision)
@@ -77,6 +104,7 @@
 		r.quota(o, now).SetLimit(o.Limit, now)
 	}
 	r.metrics.manifest.Set(float64(m.Version))
+	return manifestNew
 }
 
 func (r *routing) manifestVersion() int64 {
--- a/node/entry/storeera.go
+++ b/node/entry/storeera.go
@@ -1,23 +1,81 @@
 package entry
 
 import (
+	"encoding/json"
+	"time"
+
 	"github.com/mangopass/mangopass/duty/clock"
+	"github.com/mangopass/mangopass/fleet/link"
+)
+
+const (
+	// noEra is the store's era while it has not answered yet.
+	noEra = -1
+	// keySettledEra is the key that names the last era of the store of which a VM knows that it has settled. A listing
+	// returns it before the manifest, so that the manifest is at least as new.
+	keySettledEra = prefixOwn + "era"
+	// eraWritePeriod is the time between two writes of keySettledEra, of which the first failed.
+	eraWritePeriod = 3 * time.Second
 )
 
-// noEra is the store's era while it has not answered yet.
-const noEra = -1
+// eraEntry is the value of keySettledEra.
+type eraEntry struct {
+	Settled int64 `json:"settled"`
+}
+
+// storeEra is what this VM knows of the eras of the platform's store.
+type storeEra struct {
+	newest     int64 // of all answers; noEra: none yet
+	settled    int64 // as last read from the store
+	revision   int64 // of keySettledEra; zero: there is none
+	recordedAt clock.Instant
+}
 
 // enterEra takes note of the store's era that an answer shows. It returns false if the answer is of an earlier era than
 // another one before it: what it shows is no longer so.
 func (r *routing) enterEra(era int64, now clock.Instant) bool {
-	if era <= r.era {
-		return era == r.era
+	if era <= r.era.newest {
+		return era == r.era.newest
+	}
+	before := r.era.newest
+	r.era.newest = era
+	if era > link.FirstEra {
+		r.freshness.BeginEra(now)
 	}
-	before := r.era
-	r.era = era
 	if before == noEra {
 		return true
 	}
 	r.log.Warn("store restored", "era", era, "before", before, "known_up_to", r.changes.Position().Revision)
 	return true
 }
+
+// applySettledEra applies the key that names the last settled era.
+func (r *routing) applySettledEra(c ownKeyChange) {
+	if c.gone {
+		r.era.revision = 0
+		return
+	}
+	r.era.revision = c.revision
+	var e eraEntry
+	if err := json.Unmarshal(c.value, &e); err != nil {
+		r.log.Warn("settled era rejected", "error", err.Error())
+		return
+	}
+	if r.era.settled = e.Settled; e.Settled >= r.era.newest {
+		r.freshness.Settle()
+	}
+}
+
+// recordSettledEra writes to the store that its era has settled, so that a VM that starts later need not wait for that.
+// Only the planner does so.
+func (r *routing) recordSettledEra(now clock.Instant) {
+	e := &r.era
+	if r.keyWrites == nil || r.members.planner != r.node || !r.leader.ownKeysRead || e.newest <= link.FirstEra ||
+		e.settled >= e.newest || !r.freshness.EraSettled() || e.recordedAt != 0 && now.Sub(e.recordedAt) < eraWritePeriod {
+		return
+	}
+	e.recordedAt = now
+	r.keyWrites.TryPush(keyWrite{
+		key: keySettledEra, era: e.newest, revision: e.revision, value: eraEntry{Settled: e.newest},
+	})
+}
--- a/node/entry/storeera_test.go
+++ b/node/entry/storeera_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"testing"
+	"time"
 
+	"github.com/mangopass/mangopass/duty/ring"
 	"github.com/mangopass/mangopass/fleet/link"
 	"github.com/mangopass/mangopass/platform"
 )
@@ -51,3 +53,136 @@
 		t.Errorf("manifest %d, confirmed at %v, want the one of before, %v", h.manifestVersion(), at, before)
 	}
 }
+
+// restored is a position in the era after the store's first return from an older copy.
+func restored(revision int64) link.Position {
+	return link.Position{Era: link.FirstEra + 1, Revision: revision}
+}
+
+// listed returns the listing of a store that holds a manifest, written at a revision.
+func (h *harness) listed(p link.Position, version int, revision int64) storeChanged {
+	entry := manifestEntry(testManifest(version))
+	entry.Revision = revision
+	return storeChanged{complete: true, position: p, sent: h.now, manifest: entry}
+}
+
+// newRestoredHarness returns a VM that has read manifest 4, written at revision 50, and did not reach the store since; it
+// accepts no keys any more.
+func newRestoredHarness(t *testing.T) *harness {
+	t.Helper()
+	h := newHarness()
+	h.apply(h.listed(link.Position{Era: link.FirstEra, Revision: 60}, 4, 50))
+	if !h.freshness.Fresh(h.now) {
+		t.Fatal("the manifest of a store that was never restored does not count as the newest")
+	}
+	h.now = h.now.Add(6 * time.Second)
+	return h
+}
+
+// TestRestoredManifestProvesNothing guards withdrawn keys. The manifest that a restored store shows may be older than one
+// that this VM has missed. It counts as the newest only once the operators must have written theirs again, or have done
+// so as far as this VM can tell, or once another VM has waited for that.
+func TestRestoredManifestProvesNothing(t *testing.T) {
+	written := func(h *harness, version int, revision int64) storeChanged {
+		c := h.listed(restored(revision), version, revision)
+		c.complete = false
+		return c
+	}
+	for _, c := range []struct {
+		name  string
+		first func(h *harness) storeChanged
+		next  func(h *harness) storeChanged // after, later; nil: none
+		after time.Duration
+		fresh bool
+	}{
+		{name: "copy of the manifest that is known", first: func(h *harness) storeChanged { return h.listed(restored(55), 4, 50) }},
+		{name: "copy of a newer manifest", first: func(h *harness) storeChanged { return h.listed(restored(55), 5, 54) }},
+		{name: "copy of an older manifest", first: func(h *harness) storeChanged { return h.listed(restored(49), 3, 40) }},
+		{
+			name: "the manifest that is known, at another revision", fresh: true,
+			first: func(h *harness) storeChanged { return h.listed(restored(49), 4, 48) },
+		},
+		{
+			name: "too early", first: func(h *harness) storeChanged { return h.listed(restored(55), 4, 50) },
+			after: link.RewriteGrace - time.Millisecond,
+			next:  func(h *harness) storeChanged { return storeChanged{position: restored(56), sent: h.now} },
+		},
+		{
+			name: "after the grace period", first: func(h *harness) storeChanged { return h.listed(restored(55), 4, 50) },
+			after: link.RewriteGrace, fresh: true,
+			next: func(h *harness) storeChanged { return storeChanged{position: restored(56), sent: h.now} },
+		},
+		{
+			name: "after the grace period, asked before", after: link.RewriteGrace,
+			first: func(h *harness) storeChanged { return h.listed(restored(55), 4, 50) },
+			next: func(h *harness) storeChanged {
+				return storeChanged{position: restored(56), sent: h.now.Add(-time.Millisecond)}
+			},
+		},
+		{
+			name: "written again", first: func(h *harness) storeChanged { return h.listed(restored(55), 4, 50) },
+			after: time.Millisecond, fresh: true, next: func(h *harness) storeChanged { return written(h, 5, 56) },
+		},
+		{
+			name: "an older manifest is written", first: func(h *harness) storeChanged { return h.listed(restored(55), 4, 50) },
+			after: time.Millisecond, next: func(h *harness) storeChanged { return written(h, 3, 56) },
+		},
+		{
+			name: "settled", fresh: true, first: func(h *harness) storeChanged {
+				m := h.listed(restored(55), 5, 52)
+				m.ownKeys = []ownKeyChange{{
+					key: keySettledEra, value: marshal(eraEntry{Settled: link.FirstEra + 1}), revision: 54,
+				}}
+				return m
+			},
+		},
+		{
+			name: "a former era is settled", first: func(h *harness) storeChanged {
+				m := h.listed(restored(55), 5, 52)
+				m.ownKeys = []ownKeyChange{{
+					key: keySettledEra, value: marshal(eraEntry{Settled: link.FirstEra}), revision: 54,
+				}}
+				return m
+			},
+		},
+	} {
+		h := newRestoredHarness(t)
+		h.apply(c.first(h))
+		h.now = h.now.Add(c.after)
+		if c.next != nil {
+			h.apply(c.next(h))
+		}
+		if fresh := h.freshness.Fresh(h.now); fresh != c.fresh {
+			t.Errorf("%s: the manifest counts as the newest: %v, want %v", c.name, fresh, c.fresh)
+		}
+	}
+}
+
+// TestSettledEraIsStored guards VMs that start long after a restore against waiting once more, and the store against
+// writes of every VM.
+func TestSettledEraIsStored(t *testing.T) {
+	h := newRestoredHarness(t)
+	h.keyWrites = ring.New[keyWrite]("keys", 8)
+	h.apply(h.listed(restored(55), 4, 50))
+	h.recordSettledEra(h.now)
+	h.now = h.now.Add(link.RewriteGrace)
+	h.recordSettledEra(h.now)
+	if h.keyWrites.Len() != 0 {
+		t.Fatal("the era counts as settled before the store was read again")
+	}
+	h.apply(storeChanged{position: restored(56), sent: h.now})
+	h.recordSettledEra(h.now)
+	h.recordSettledEra(h.now)
+	want := keyWrite{key: keySettledEra, era: link.FirstEra + 1, value: eraEntry{Settled: link.FirstEra + 1}}
+	if got, err := h.keyWrites.Pop(t.Context()); err != nil || got != want || h.keyWrites.Len() != 0 {
+		t.Errorf("write %+v, error %v, %d more; want only %+v", got, err, h.keyWrites.Len(), want)
+	}
+	h.apply(storeChanged{position: restored(57), sent: h.now, ownKeys: []ownKeyChange{{
+		key: keySettledEra, value: marshal(want.value), revision: 57,
+	}}})
+	h.now = h.now.Add(time.Minute)
+	h.recordSettledEra(h.now)
+	if h.keyWrites.Len() != 0 {
+		t.Error("the era is recorded again although the store has it")
+	}
+}
