Let terms hold in one era of the store, and fences rise over eras

Cause: after the store's return from an older copy, restored holder keys counted as terms in force, a renewed lease extended terms whose keys were lost, a new leader judged who led before by the copy, and fences, being revisions, went back. Change: a holder key names the era of its claim and counts in that era only; a lease extends the terms of its era; fences begin with the era. The VM that leads at the restore goes on for the rest of its lease and claims first; any other new leader waits until that lease has run out, and the pause after it. Why it works: no lease of an era outlives its last renewal, which is before the first answer of the next era.

--- a/fleet/link/changelog_test.go
+++ b/fleet/link/changelog_test.go
@@ -35,3 +35,18 @@
 		t.Errorf("changes %+v, want only the removal", changes)
 	}
 }
+
+// TestFencesRiseOverEras guards against orders whose fence is lower than, or the same as, that of an earlier term: in a new
+// era of the store, revisions are given out again.
+func TestFencesRiseOverEras(t *testing.T) {
+	last := int64(0)
+	for _, p := range []Position{
+		{0, 5}, {FirstEra, 7}, {FirstEra, 1 << 30}, {FirstEra + 1, 3}, {FirstEra + 1, 4}, {FirstEra + 2, 4}, {8000, 1},
+	} {
+		fence := p.Fence()
+		if fence <= last || int64(float64(fence)) != fence {
+			t.Errorf("fence %d at %+v after %d, want a higher one that a float64 holds", fence, p, last)
+		}
+		last = fence
+	}
+}
--- a/fleet/link/position.go
+++ b/fleet/link/position.go
@@ -15,3 +15,10 @@
 func (p Position) Before(q Position) bool {
 	return p.Era < q.Era || p.Era == q.Era && p.Revision < q.Revision
 }
+
+// fenceEraBits is the number of bits of a fence that hold the revision. Readers of JSON that use floating-point numbers
+// read fences exactly after as many as 8,000 restores.
+const fenceEraBits = 40
+
+// Fence returns the fence of a term that was taken at the position. Fences rise over all eras, as revisions don't.
+func (p Position) Fence() int64 { return max(0, p.Era-FirstEra)<<fenceEraBits | p.Revision }
--- a/node/entry/leader.go
+++ b/node/entry/leader.go
@@ -9,6 +9,7 @@
 	"github.com/mangopass/mangopass/duty/ring"
 	"github.com/mangopass/mangopass/fleet/link"
 	"github.com/mangopass/mangopass/fleet/machine"
+	"github.com/mangopass/mangopass/platform"
 )
 
 // endedTermPeriod is how long this VM tells its peers that it has ended a term.
@@ -33,9 +34,13 @@
 	leaderBoot      int64
 	leaderHeard     bool         // the leader's reports arrive
 	leaderIsSelf    bool         // the leader is this VM, in this process or an earlier one
+	holderIsOld     bool         // the holder key was written in an earlier era of the store: it stands for no term
 	lastTermKey     ownKeyChange // the last-term key as last read; its revision is that term's fence
 	lastTermAtClaim ownKeyChange // lastTermKey as stated in the last claim, which fails if it has changed
 
+	termEra   int64 // era of the store in which this VM took its term
+	continued bool  // this VM gave the orders when the store returned from an older copy, and no other one has led since
+
 	endedFence    int64 // fence of the last term that this VM ended
 	endedAt       clock.Instant
 	releasedFence int64 // fence under which a peer says that it gives no more orders
@@ -97,16 +102,10 @@
 	if s.leadership.Term().Fence == fence || r.stopping || !now.Before(r.leader.leaseEnd) {
 		return
 	}
-	ordersUntil, pause := now, r.rules.Lease()
-	var previous holderEntry
-	switch {
-	case s.lastTermAtClaim.value == nil ||
-		json.Unmarshal(s.lastTermAtClaim.value, &previous) == nil && r.isSelf(previous):
-		pause = 0
-	case s.releasedFence == s.lastTermAtClaim.revision:
-		ordersUntil = s.releasedAt
-	}
+	r.endTerm(k, "taken anew", now)
+	previous, ordersUntil, pause := r.previousOrders(s, now)
 	s.leadership.Begin(machine.Term{Holder: r.node, Fence: fence}, ordersUntil, pause, r.leader.leaseEnd)
+	s.termEra, s.continued = s.holderKey.era, false
 	s.live = new(atomic.Bool)
 	s.live.Store(true)
 	r.leader.scheduler.ResetShard(k)
@@ -114,6 +113,34 @@
 		"orders_in_ms", max(0, s.leadership.OrdersFrom().Sub(now)).Milliseconds(), "previous", previous.Node)
 }
 
+// previousOrders returns the leader before the term that this VM has just taken, the latest moment at which that one can
+// have given an order, and the pause that has to follow.
+func (r *routing) previousOrders(
+	s *shardState, now clock.Instant,
+) (previous holderEntry, until clock.Instant, pause time.Duration) {
+	last := s.lastTermAtClaim
+	if last.value != nil {
+		_ = json.Unmarshal(last.value, &previous) // without a readable value, the leader before was another VM
+	}
+	switch {
+	case r.leadsFirst(s, previous) && s.continued:
+		return previous, now, platform.OrderTimeout // the last orders of the former term have arrived by then
+	case r.leadsFirst(s, previous) && s.holderKey.era > link.FirstEra:
+		return previous, now.Add(max(leaseTTL, r.rules.MinLease())), r.rules.Lease()
+	case last.value == nil || r.isSelf(previous):
+		return previous, now, 0
+	case s.releasedFence == last.at().Fence():
+		return previous, s.releasedAt, r.rules.Lease()
+	}
+	return previous, now, r.rules.Lease()
+}
+
+// leadsFirst reports whether no term of the shard was taken in the store's present era before this VM's claim. The store
+// does not show then who led last in the era before, and that VM may give orders until its lease has run out.
+func (r *routing) leadsFirst(s *shardState, previous holderEntry) bool {
+	return s.lastTermAtClaim.value == nil || previous.era() < s.holderKey.era
+}
+
 // endTerm ends this VM's term over a shard. No order is sent under it any more.
 func (r *routing) endTerm(k machine.Shard, reason string, now clock.Instant) {
 	s := &r.leader.shards[k]
@@ -136,7 +163,7 @@
 			continue
 		}
 		r.endTerm(machine.Shard(k), "planned stop", now)
-		r.leader.claims.TryPush(claim{shard: machine.Shard(k), release: true, holderRevision: s.holderKey.revision})
+		r.leader.claims.TryPush(claim{shard: machine.Shard(k), release: true, era: s.holderKey.era, holderRevision: s.holderKey.revision})
 	}
 }
 
--- a/node/entry/lease.go
+++ b/node/entry/lease.go
@@ -57,31 +57,50 @@
 
 // renewLease renews the lease, or obtains a new one and writes this VM's entry under it.
 func (l *leaseKeeper) renewLease(ctx context.Context) {
-	sent := clock.Now()
+	if l.lease.ID != 0 {
+		l.extendLease(ctx)
+	}
 	if l.lease.ID == 0 {
-		lease, ttl, outcome, err := l.store.Grant(ctx, l.ttl)
-		if outcome != platform.Applied {
-			l.logFailure("grant", outcome, err)
-			return
-		}
-		l.lease, l.entryWritten = lease, false
-		l.reportRenewal(ctx, sent.Add(ttl))
-	} else {
-		ttl, outcome, err := l.store.Renew(ctx, l.lease)
-		switch outcome {
-		case platform.Applied:
-			l.reportRenewal(ctx, sent.Add(ttl))
-		case platform.NotFound, platform.Restored:
-			l.dropLease(ctx)
-		default:
-			l.logFailure("renew", outcome, err)
-		}
+		l.grantLease(ctx)
 	}
 	if l.lease.ID != 0 && !l.entryWritten {
 		l.writeEntry(ctx)
 	}
 }
 
+func (l *leaseKeeper) extendLease(ctx context.Context) {
+	sent := clock.Now()
+	ttl, outcome, err := l.store.Renew(ctx, l.lease)
+	switch outcome {
+	case platform.Applied:
+		l.reportRenewal(ctx, sent.Add(ttl))
+	case platform.NotFound:
+		l.dropLease(ctx)
+	case platform.Restored:
+		l.leaveEra()
+	default:
+		l.logFailure("renew", outcome, err)
+	}
+}
+
+func (l *leaseKeeper) grantLease(ctx context.Context) {
+	sent := clock.Now()
+	lease, ttl, outcome, err := l.store.Grant(ctx, l.ttl)
+	if outcome != platform.Applied {
+		l.logFailure("grant", outcome, err)
+		return
+	}
+	l.lease, l.entryWritten = lease, false
+	l.reportRenewal(ctx, sent.Add(ttl))
+}
+
+// leaveEra gives up a lease that was granted before the store returned from an older copy. The terms under it go on until
+// it has run out: no other VM gives orders before.
+func (l *leaseKeeper) leaveEra() {
+	l.log.Warn("lease of an earlier era given up", "era", l.lease.Era)
+	l.lease = platform.Lease{}
+}
+
 // dropLease gives up a lease that the store no longer has, and the terms under it.
 func (l *leaseKeeper) dropLease(ctx context.Context) {
 	l.lease = platform.Lease{}
@@ -90,7 +109,7 @@
 }
 
 func (l *leaseKeeper) reportRenewal(ctx context.Context, until clock.Instant) {
-	_ = l.routing.Push(ctx, leaseRenewed{until: until})
+	_ = l.routing.Push(ctx, leaseRenewed{era: l.lease.Era, until: until})
 }
 
 func (l *leaseKeeper) writeEntry(ctx context.Context) {
@@ -100,8 +119,10 @@
 	switch outcome {
 	case platform.Applied:
 		l.entryWritten = true
-	case platform.NotFound, platform.Restored:
+	case platform.NotFound:
 		l.dropLease(ctx)
+	case platform.Restored:
+		l.leaveEra()
 	default:
 		l.logFailure("list", outcome, err)
 	}
@@ -113,33 +134,33 @@
 
 // commitClaim writes or removes a holder key. If a claim gets no answer, the watch shows whether it took effect.
 func (l *leaseKeeper) commitClaim(ctx context.Context, c claim) {
-	if l.lease.ID == 0 {
+	if l.lease.ID == 0 || l.lease.Era != c.era {
 		return
 	}
 	key := keyHolder(c.shard)
 	if c.release {
 		_, outcome, err := l.store.Commit(ctx, platform.Txn{
-			Era: l.lease.Era, Conditions: []platform.Condition{{Key: key, Revision: c.holderRevision}}, Removes: []string{key},
+			Era: c.era, Conditions: []platform.Condition{{Key: key, Revision: c.holderRevision}}, Removes: []string{key},
 		})
 		if outcome != platform.Applied {
 			l.logFailure("give up term", outcome, err)
 		}
 		return
 	}
-	value := marshal(holderEntry{Node: l.node, Address: l.entry.Address, Boot: l.entry.Boot})
+	value := marshal(holderEntry{Node: l.node, Address: l.entry.Address, Boot: l.entry.Boot, Era: c.era})
 	revision, outcome, err := l.store.Commit(ctx, platform.Txn{
-		Era: l.lease.Era, Conditions: []platform.Condition{
+		Era: c.era, Conditions: []platform.Condition{
 			{Key: key, Revision: c.holderRevision}, {Key: keyLastTerm(c.shard), Revision: c.lastRevision},
 		},
 		Writes: []platform.Write{
 			{Key: key, Value: value, Lease: l.lease}, {Key: keyLastTerm(c.shard), Value: value},
 		},
 	})
-	l.log.Info("claim", "shard", c.shard, "outcome", outcome.String(), "fence", revision,
-		"era", l.store.Era(), "holder_revision", c.holderRevision, "last_revision", c.lastRevision)
+	l.log.Info("claim", "shard", c.shard, "outcome", outcome.String(), "revision", revision,
+		"era", c.era, "holder_revision", c.holderRevision, "last_revision", c.lastRevision)
 	switch outcome {
 	case platform.Applied:
-		change := ownKeyChange{key: key, value: value, revision: revision}
+		change := ownKeyChange{key: key, value: value, era: c.era, revision: revision}
 		_ = l.routing.Push(ctx, claimApplied{shard: c.shard, change: change})
 	case platform.Conflict:
 	default:
--- a/node/entry/members.go
+++ b/node/entry/members.go
@@ -194,7 +194,7 @@
 	r.leader.ownKeysRead = true
 	for k := range present {
 		if s := &r.leader.shards[k]; !present[k] && !s.holderKey.gone {
-			r.applyHolder(machine.Shard(k), ownKeyChange{gone: true, revision: s.holderKey.revision}, now)
+			r.applyHolder(machine.Shard(k), ownKeyChange{gone: true, era: s.holderKey.era, revision: s.holderKey.revision}, now)
 		}
 	}
 }
--- a/node/entry/message.go
+++ b/node/entry/message.go
@@ -147,14 +147,21 @@
 type ownKeyChange struct {
 	key      string
 	value    []byte
+	era      int64 // of the store, in which the key was read
 	revision int64
 	gone     bool
 }
 
-// leaseRenewed extends the lease on this VM's keys in the store; leaseLost ends it.
+// at returns the position of the change in the store's history.
+func (c ownKeyChange) at() link.Position { return link.Position{Era: c.era, Revision: c.revision} }
+
+// leaseRenewed extends the lease on this VM's keys in the store, which was granted in the given era; leaseLost ends it.
 type (
-	leaseRenewed struct{ until clock.Instant }
-	leaseLost    struct{}
+	leaseRenewed struct {
+		era   int64
+		until clock.Instant
+	}
+	leaseLost struct{}
 )
 
 // peerReported is a report from another entry VM.
--- a/node/entry/storechanges.go
+++ b/node/entry/storechanges.go
@@ -38,7 +38,8 @@
 		r.runnersListed = true
 	}
 	r.table.Prune(r.fleet)
-	for _, c := range m.ownKeys {
+	for i, c := range m.ownKeys {
+		m.ownKeys[i].era = m.position.Era
 		r.changes.Record(link.StoreEntry{Key: c.key, Value: c.value, Revision: c.revision, Deleted: c.gone})
 	}
 	r.changes.Advance(m.position.Revision)
--- a/node/entry/storeera.go
+++ b/node/entry/storeera.go
@@ -39,6 +39,7 @@
 	}
 	before := r.era.newest
 	r.era.newest = era
+	r.leader.forgetKeys(era, now)
 	if era > link.FirstEra {
 		r.freshness.BeginEra(now)
 	}
--- a/node/entry/storeera_test.go
+++ b/node/entry/storeera_test.go
@@ -186,3 +186,103 @@
 		t.Error("the era is recorded again although the store has it")
 	}
 }
+
+// leads returns the entry of a shard's leader, as written in an era.
+func leads(node string, era int64) holderEntry {
+	return holderEntry{Node: node, Address: "10.0.0.1:7600", Boot: 1, Era: era}
+}
+
+// newLeader returns a VM that leads shard 3 with fence 40 in the store's first era.
+func newLeader(t *testing.T) *harness {
+	t.Helper()
+	h := newHarness()
+	h.apply(h.listed(link.Position{Era: link.FirstEra, Revision: 30}, 1, 20))
+	h.apply(leaseRenewed{era: link.FirstEra, until: h.now.Add(leaseTTL)})
+	h.apply(claimApplied{shard: 3, change: ownKeyChange{
+		key: keyHolder(3), value: marshal(leads("n1", link.FirstEra)), era: link.FirstEra, revision: 40,
+	}})
+	if !h.leader.shards[3].leadership.MayOrder(h.now) {
+		t.Fatal("the VM does not lead the shard")
+	}
+	return h
+}
+
+// withKeys adds the holder key and the last-term key of shard 3 to a listing.
+func withKeys(m storeChanged, e holderEntry, revision int64) storeChanged {
+	m.ownKeys = append(m.ownKeys, ownKeyChange{key: keyHolder(3), value: marshal(e), revision: revision},
+		ownKeyChange{key: keyLastTerm(3), value: marshal(e), revision: revision})
+	return m
+}
+
+// takeClaim lets time pass until the VM claims shard 3, for at most d, and returns the claim.
+func (h *harness) takeClaim(t *testing.T, d time.Duration) claim {
+	t.Helper()
+	for end := h.now.Add(d); h.now.Before(end); h.now = h.now.Add(50 * time.Millisecond) {
+		h.checkTerms(h.now)
+		for h.leader.claims.Len() > 0 {
+			if c, err := h.leader.claims.Pop(t.Context()); err != nil || c.shard == 3 {
+				return c
+			}
+		}
+	}
+	t.Fatalf("no claim of shard 3 within %v", d)
+	return claim{}
+}
+
+// TestLeaderContinuesAfterRestore guards shards against a long time without orders. The VM that leads when the store
+// returns from an older copy claims its shard first, gives orders meanwhile, and goes on with a higher fence.
+func TestLeaderContinuesAfterRestore(t *testing.T) {
+	h := newLeader(t)
+	s := &h.leader.shards[3]
+	h.now = h.now.Add(time.Second)
+	h.apply(withKeys(h.listed(restored(25), 1, 20), leads("n1", link.FirstEra), 15))
+	if !s.leadership.MayOrder(h.now) {
+		t.Error("the leader gives no orders although no other VM can")
+	}
+	h.apply(leaseRenewed{era: link.FirstEra + 1, until: h.now.Add(leaseTTL)})
+	c := h.takeClaim(t, 100*time.Millisecond)
+	if c.holderRevision != 15 || c.lastRevision != 15 || c.era != link.FirstEra+1 {
+		t.Errorf("claim %+v, want one on the keys of the copy", c)
+	}
+	h.apply(claimApplied{shard: 3, change: ownKeyChange{
+		key: keyHolder(3), value: marshal(leads("n1", c.era)), era: c.era, revision: 26,
+	}})
+	h.now = h.now.Add(platform.OrderTimeout)
+	if fence := s.leadership.Term().Fence; fence <= 40 || !s.leadership.MayOrder(h.now) {
+		t.Errorf("fence %d, orders allowed: %v; want a fence over 40 and orders", fence, s.leadership.MayOrder(h.now))
+	}
+}
+
+// TestRenewalKeepsNoTermOfFormerEra guards against orders of a leader whose lease the store has renewed in a new era,
+// although the holder keys under it are lost or the lease is another VM's.
+func TestRenewalKeepsNoTermOfFormerEra(t *testing.T) {
+	h := newLeader(t)
+	h.apply(leaseRenewed{era: link.FirstEra + 1, until: h.now.Add(time.Minute)})
+	if h.now = h.now.Add(leaseTTL); h.leader.shards[3].leadership.HoldsTerm(h.now) {
+		t.Error("the term goes on after its own lease")
+	}
+}
+
+// TestNewLeaderWaitsAfterRestore guards runners against orders of two leaders. Who led last before the store returned from
+// an older copy is unknown, so that a new leader waits until the lease of that one has run out, and the pause after that,
+// also if the copy names the new leader itself.
+func TestNewLeaderWaitsAfterRestore(t *testing.T) {
+	for _, former := range []string{"n1", "n2", ""} {
+		h := newHarness()
+		m := h.listed(restored(25), 1, 20)
+		if former != "" {
+			m = withKeys(m, leads(former, link.FirstEra), 15)
+		}
+		h.apply(m)
+		h.apply(leaseRenewed{era: link.FirstEra + 1, until: h.now.Add(time.Hour)})
+		c := h.takeClaim(t, 2*time.Second)
+		h.apply(claimApplied{shard: 3, change: ownKeyChange{
+			key: keyHolder(3), value: marshal(leads("n1", c.era)), era: c.era, revision: 26,
+		}})
+		leadership := &h.leader.shards[3].leadership
+		wait := leaseTTL + h.rules.Lease()
+		if leadership.MayOrder(h.now.Add(wait-time.Millisecond)) || !leadership.MayOrder(h.now.Add(wait)) {
+			t.Errorf("led by %q in the copy: orders are not allowed %v after the claim, or sooner", former, wait)
+		}
+	}
+}
--- a/node/entry/terms.go
+++ b/node/entry/terms.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/mangopass/mangopass/duty/clock"
+	"github.com/mangopass/mangopass/fleet/link"
 	"github.com/mangopass/mangopass/fleet/machine"
 )
 
@@ -33,8 +34,12 @@
 	// Address is the IP:port for reports. It tells this VM from a former one of the same name that it replaces.
 	Address string `json:"address"`
 	Boot    int64  `json:"boot"`
+	Era     int64  `json:"era"` // of the store, in which the term was claimed
 }
 
+// era returns the store's era in which the term was claimed. Earlier builds stated none.
+func (e holderEntry) era() int64 { return max(e.Era, link.FirstEra) }
+
 // isSelf reports whether the holder is this VM, in this process or an earlier one.
 func (r *routing) isSelf(e holderEntry) bool { return e.Node == r.node && e.Address == r.address }
 
@@ -43,6 +48,7 @@
 type claim struct {
 	shard          machine.Shard
 	release        bool
+	era            int64 // of the store, in which the revisions were read
 	holderRevision int64
 	lastRevision   int64
 }
@@ -61,29 +67,37 @@
 // applyHolder applies a change of a shard's holder key.
 func (r *routing) applyHolder(k machine.Shard, c ownKeyChange, now clock.Instant) {
 	s := &r.leader.shards[k]
-	if c.revision < s.holderKey.revision {
+	if c.at().Before(s.holderKey.at()) {
 		return
 	}
-	lost := s.holderKey.revision
-	s.holderKey = c
+	lost := s.holderKey.at().Fence()
+	s.holderKey, s.holderIsOld = c, false
 	if c.gone {
 		s.leaderNode = ""
 		r.leader.scheduler.LeaderLost(k, lost)
 		r.endTerm(k, "holder key removed", now)
 		return
 	}
-	s.vacantSince = 0
 	var e holderEntry
 	if err := json.Unmarshal(c.value, &e); err != nil {
 		r.log.Error("holder entry rejected", "shard", k, "error", err.Error())
 		return
 	}
+	if s.holderIsOld = e.era() < c.era; s.holderIsOld {
+		r.log.Info("holder key of an earlier era", "shard", k, "holder", e.Node, "claimed_in", e.era(), "era", c.era)
+		if s.termEra == c.era {
+			r.endTerm(k, "holder key replaced", now)
+		}
+		return
+	}
+	s.vacantSince = 0
 	s.leaderNode, s.leaderBoot = e.Node, e.Boot
 	s.leaderIsSelf = r.isSelf(e)
 	if s.leaderIsSelf && e.Boot == r.boot {
-		r.beginTerm(k, c.revision, now)
+		r.beginTerm(k, c.at().Fence(), now)
 		return
 	}
+	s.continued = false
 	r.endTerm(k, "another VM took the term", now)
 }
 
@@ -95,7 +109,7 @@
 		switch {
 		case s.leadership.Term().Fence != 0 && !s.leadership.HoldsTerm(now):
 			r.endTerm(machine.Shard(k), "lease ran out", now)
-		case s.leadership.Term().Fence == 0 && s.leaderIsSelf && s.leaderBoot == r.boot && !s.holderKey.gone:
+		case s.leadership.Term().Fence == 0 && s.leaderIsSelf && s.leaderBoot == r.boot && !s.vacant():
 			r.applyHolder(machine.Shard(k), s.holderKey, now) // the lease was renewed after it seemed to have run out
 		}
 	}
@@ -103,7 +117,7 @@
 		return
 	}
 	for k := range l.shards {
-		if s := &l.shards[k]; s.holderKey.gone || s.leaderIsSelf && s.leaderBoot != r.boot {
+		if s := &l.shards[k]; s.vacant() || s.leaderIsSelf && s.leaderBoot != r.boot {
 			r.claimWhenDue(machine.Shard(k), s, now)
 		}
 	}
@@ -119,7 +133,7 @@
 		return
 	}
 	s.nextClaimAt, s.lastTermAtClaim = now.Add(claimPause), s.lastTermKey
-	c := claim{shard: k, lastRevision: s.lastTermKey.revision}
+	c := claim{shard: k, era: s.holderKey.era, lastRevision: s.lastTermKey.revision}
 	if !s.holderKey.gone {
 		c.holderRevision = s.holderKey.revision
 	}
@@ -130,14 +144,19 @@
 // pause after its own orders; the others follow by rank.
 func (r *routing) claimDelay(k machine.Shard, s *shardState, now clock.Instant) time.Duration {
 	var last holderEntry
-	if s.lastTermKey.value != nil && json.Unmarshal(s.lastTermKey.value, &last) == nil && r.isSelf(last) {
+	known := s.lastTermKey.value != nil && json.Unmarshal(s.lastTermKey.value, &last) == nil
+	ofEra := known && last.era() >= s.lastTermKey.era
+	if s.continued || ofEra && r.isSelf(last) {
 		return 0
 	}
 	delay := time.Duration(r.rank(k)) * claimStagger
-	if s.lastTermKey.value == nil {
+	p := r.members.peers[last.Node]
+	switch {
+	case !ofEra && s.holderKey.era > link.FirstEra: // the leader of the era before may go on without a pause
+		delay += lastHolderDelay
+	case s.lastTermKey.value == nil:
 		delay += registrationWait
-	} else if p := r.members.peers[last.Node]; p != nil && !p.stopping &&
-		s.releasedFence != s.lastTermKey.revision {
+	case p != nil && !p.stopping && s.releasedFence != s.lastTermKey.at().Fence():
 		delay += lastHolderDelay
 	}
 	if share := (machine.Shards + r.members.count() - 1) / r.members.count(); r.leader.heldShards(now) >= share {
@@ -158,14 +177,34 @@
 	return n
 }
 
-// apply extends the lease of this VM's keys and with it the terms.
-func (m leaseRenewed) apply(r *routing, _ clock.Instant) {
-	r.leader.leaseEnd = m.until
+// apply extends the lease of this VM's keys and with it the terms that it took in the lease's era.
+func (m leaseRenewed) apply(r *routing, now clock.Instant) {
+	if r.enterEra(m.era, now) {
+		r.leader.leaseEnd = m.until
+	}
 	for k := range r.leader.shards {
-		r.leader.shards[k].leadership.Renew(m.until)
+		if s := &r.leader.shards[k]; s.termEra == m.era {
+			s.leadership.Renew(m.until)
+		}
 	}
 }
 
+// forgetKeys forgets what the keys of a former era of the store have shown of the leaders. This VM's own terms go on until
+// their leases have run out: other VMs wait for that.
+func (l *leader) forgetKeys(era int64, now clock.Instant) {
+	l.ownKeysRead, l.leaseEnd = false, 0
+	for k := range l.shards {
+		s := &l.shards[k]
+		s.holderKey, s.holderIsOld = ownKeyChange{gone: true, era: era}, false
+		s.lastTermKey = ownKeyChange{era: era}
+		s.leaderIsSelf, s.vacantSince = false, 0
+		s.continued = s.leadership.HoldsTerm(now) && !now.Before(s.leadership.OrdersFrom())
+	}
+}
+
+// vacant reports whether no VM leads the shard, as far as the store shows.
+func (s *shardState) vacant() bool { return s.holderKey.gone || s.holderIsOld }
+
 // apply ends all terms, since their keys lived under the lease.
 func (leaseLost) apply(r *routing, now clock.Instant) {
 	r.leader.leaseEnd = 0
@@ -181,4 +220,8 @@
 }
 
 // apply applies the change before the watch brings it.
-func (m claimApplied) apply(r *routing, now clock.Instant) { r.applyHolder(m.shard, m.change, now) }
+func (m claimApplied) apply(r *routing, now clock.Instant) {
+	if r.enterEra(m.change.era, now) {
+		r.applyHolder(m.shard, m.change, now)
+	}
+}
