Keep the pause after another leader when a VM takes its own term anew

A model test of two VMs over restores, suspensions, cuts and restarts gave orders of two leaders 2.9 s apart; 3 s are needed. No restore is needed for it: a VM that is killed in the pause after another leader starts again and claims its own term. Cause: a term taken anew from this VM's own former term began without a pause, also if the former one had not yet been allowed to give orders; the claim of a later process can't know. Change: a holder key states the pause with which its term began; a later process of the VM keeps it, the same process waits for what is left of it.

--- a/fleet/machine/order.go
+++ b/fleet/machine/order.go
@@ -85,10 +85,10 @@
 // sendMargin is the time before the end of the lease in which no order is sent any more.
 const sendMargin = 150 * time.Millisecond
 
-// Begin starts a term. The previous leader may have given orders until previousEnd; pause is the time after that in
-// which this process gives none, zero if there was no other leader. leaseEnd is the end of the lease.
-func (l *Leadership) Begin(term Term, previousEnd clock.Instant, pause time.Duration, leaseEnd clock.Instant) {
-	*l = Leadership{term: term, ordersFrom: previousEnd.Add(pause), leaseEnd: leaseEnd}
+// Begin starts a term that gives no orders before ordersFrom, since another leader may have given some until shortly
+// before. leaseEnd is the end of the lease.
+func (l *Leadership) Begin(term Term, ordersFrom, leaseEnd clock.Instant) {
+	*l = Leadership{term: term, ordersFrom: ordersFrom, leaseEnd: leaseEnd}
 }
 
 // Renew extends the term to the end of the renewed lease. It has no effect without a term.
--- a/fleet/machine/order_test.go
+++ b/fleet/machine/order_test.go
@@ -37,7 +37,7 @@
 				if previous == n || previous < 0 {
 					wait = 0
 				}
-				leaderships[n].Begin(Term{Holder: fmt.Sprint(n), Fence: fence}, now, wait, now.Add(ttl))
+				leaderships[n].Begin(Term{Holder: fmt.Sprint(n), Fence: fence}, now.Add(wait), now.Add(ttl))
 				previous = n
 			case 1: // a renewal, whose answer may be lost
 				if holder == n {
@@ -63,7 +63,7 @@
 // that tells it.
 func TestExpiredTermGivesNoOrders(t *testing.T) {
 	var leadership Leadership
-	leadership.Begin(Term{Holder: "a", Fence: 1}, start, 0, start.Add(3*time.Second))
+	leadership.Begin(Term{Holder: "a", Fence: 1}, start, start.Add(3*time.Second))
 	var o Order
 	leadership.Stamp(&o)
 	if !leadership.MayOrder(start.Add(time.Second)) || leadership.MayOrder(start.Add(3*time.Second)) {
--- a/node/entry/leader.go
+++ b/node/entry/leader.go
@@ -41,7 +41,8 @@
 	termEra   int64 // era of the store in which this VM took its term
 	continued bool  // this VM gave the orders when the store returned from an older copy, and no other one has led since
 
-	endedFence    int64 // fence of the last term that this VM ended
+	ordersFrom    clock.Instant // earliest moment of an order under the last term that this VM took
+	endedFence    int64         // fence of the last term that this VM ended
 	endedAt       clock.Instant
 	releasedFence int64 // fence under which a peer says that it gives no more orders
 	releasedAt    clock.Instant
@@ -103,36 +104,38 @@
 		return
 	}
 	r.endTerm(k, "taken anew", now)
-	previous, ordersUntil, pause := r.previousOrders(s, now)
-	s.leadership.Begin(machine.Term{Holder: r.node, Fence: fence}, ordersUntil, pause, r.leader.leaseEnd)
-	s.termEra, s.continued = s.holderKey.era, false
+	previous, ordersFrom := r.previousOrders(s, now)
+	s.leadership.Begin(machine.Term{Holder: r.node, Fence: fence}, ordersFrom, r.leader.leaseEnd)
+	s.termEra, s.continued, s.ordersFrom = s.holderKey.era, false, ordersFrom
 	s.live = new(atomic.Bool)
 	s.live.Store(true)
 	r.leader.scheduler.ResetShard(k)
 	r.log.Info("term begins", "shard", k, "fence", fence,
-		"orders_in_ms", max(0, s.leadership.OrdersFrom().Sub(now)).Milliseconds(), "previous", previous.Node)
+		"orders_in_ms", max(0, ordersFrom.Sub(now)).Milliseconds(), "previous", previous.Node)
 }
 
-// previousOrders returns the leader before the term that this VM has just taken, the latest moment at which that one can
-// have given an order, and the pause that has to follow.
-func (r *routing) previousOrders(
-	s *shardState, now clock.Instant,
-) (previous holderEntry, until clock.Instant, pause time.Duration) {
+// previousOrders returns the leader before the term that this VM claims, as the claim states it, and the earliest moment
+// at which the term may give orders: a pause after the last order that the leader before can have given.
+func (r *routing) previousOrders(s *shardState, now clock.Instant) (previous holderEntry, ordersFrom clock.Instant) {
 	last := s.lastTermAtClaim
 	if last.value != nil {
 		_ = json.Unmarshal(last.value, &previous) // without a readable value, the leader before was another VM
 	}
 	switch {
 	case r.leadsFirst(s, previous) && s.continued:
-		return previous, now, platform.OrderTimeout // the last orders of the former term have arrived by then
+		return previous, now.Add(platform.OrderTimeout) // the last orders of the former term have arrived by then
 	case r.leadsFirst(s, previous) && s.holderKey.era > link.FirstEra:
-		return previous, now.Add(max(leaseTTL, r.rules.MinLease())), r.rules.Lease()
-	case last.value == nil || r.isSelf(previous):
-		return previous, now, 0
+		return previous, now.Add(max(leaseTTL, r.rules.MinLease()) + r.rules.Lease())
+	case last.value == nil:
+		return previous, now
+	case r.isSelf(previous) && previous.Boot == r.boot:
+		return previous, max(now, s.ordersFrom)
+	case r.isSelf(previous):
+		return previous, now.Add(previous.pause())
 	case s.releasedFence == last.at().Fence():
-		return previous, s.releasedAt, r.rules.Lease()
+		return previous, s.releasedAt.Add(r.rules.Lease())
 	}
-	return previous, now, r.rules.Lease()
+	return previous, now.Add(r.rules.Lease())
 }
 
 // leadsFirst reports whether no term of the shard was taken in the store's present era before this VM's claim. The store
--- a/node/entry/lease.go
+++ b/node/entry/lease.go
@@ -147,7 +147,7 @@
 		}
 		return
 	}
-	value := marshal(holderEntry{Node: l.node, Address: l.entry.Address, Boot: l.entry.Boot, Era: c.era})
+	value := marshal(holderEntry{Node: l.node, Address: l.entry.Address, Boot: l.entry.Boot, Era: c.era, PauseMs: c.pause.Milliseconds()})
 	revision, outcome, err := l.store.Commit(ctx, platform.Txn{
 		Era: c.era, Conditions: []platform.Condition{
 			{Key: key, Revision: c.holderRevision}, {Key: keyLastTerm(c.shard), Revision: c.lastRevision},
--- /dev/null
+++ b/node/entry/restoredterms_test.go
@@ -0,0 +1,222 @@
+package entry
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/mangopass/mangopass/duty/clock"
+	"github.com/mangopass/mangopass/fleet/link"
+	"github.com/mangopass/mangopass/fleet/machine"
+)
+
+// simulatedStore is the part of the platform's store that terms rest on, in simulated time.
+type simulatedStore struct {
+	era, revision, lastLease int64
+	keys                     map[string]leasedKey
+	leases                   map[int64]clock.Instant // their ends
+}
+
+type leasedKey struct {
+	value    []byte
+	revision int64
+	lease    int64
+}
+
+// copyOf returns the state to which the store returns later.
+func (s *simulatedStore) copyOf() simulatedStore {
+	c := *s
+	c.keys, c.leases = maps.Clone(s.keys), maps.Clone(s.leases)
+	return c
+}
+
+// restore returns to a copy of the given age. Its leases run on from the copy, as if no time had passed.
+func (s *simulatedStore) restore(c simulatedStore, age time.Duration) {
+	era := s.era + 1
+	*s = c.copyOf()
+	s.era = era
+	for id, end := range s.leases {
+		s.leases[id] = end.Add(age)
+	}
+}
+
+func (s *simulatedStore) expire(now clock.Instant) {
+	for id, end := range s.leases {
+		if !now.After(end) {
+			continue
+		}
+		delete(s.leases, id)
+		s.revision++
+		maps.DeleteFunc(s.keys, func(_ string, k leasedKey) bool { return k.lease == id })
+	}
+}
+
+// claim carries out a claim, whatever the era in which its revisions were read, and returns its revision; zero: a
+// condition does not hold.
+func (s *simulatedStore) claim(c claim, value []byte, lease int64) int64 {
+	if s.keys[keyHolder(c.shard)].revision != c.holderRevision ||
+		s.keys[keyLastTerm(c.shard)].revision != c.lastRevision || s.leases[lease] == 0 {
+		return 0
+	}
+	s.revision++
+	s.keys[keyHolder(c.shard)] = leasedKey{value, s.revision, lease}
+	s.keys[keyLastTerm(c.shard)] = leasedKey{value, s.revision, 0}
+	return s.revision
+}
+
+// simulatedVM is an entry VM with what its lease and watch duties do.
+type simulatedVM struct {
+	*harness
+	store                 *simulatedStore
+	lease, leaseEra       int64 // lease zero: none
+	cut                   bool  // from the store
+	stoppedUntil          clock.Instant
+	nextRenewal, nextRead clock.Instant
+}
+
+func newSimulatedVM(name string, boot int64, store *simulatedStore, now clock.Instant) *simulatedVM {
+	v := &simulatedVM{harness: newHarnessOf(name, "z", boot), store: store}
+	v.address, v.now = name, now
+	return v
+}
+
+// run lets the VM do what is due.
+func (v *simulatedVM) run(t *rapid.T, now clock.Instant) {
+	v.now = now
+	if !v.cut && !now.Before(v.nextRenewal) {
+		v.nextRenewal = now.Add(renewPeriod)
+		v.renew()
+	}
+	if !v.cut && !now.Before(v.nextRead) {
+		v.nextRead = now.Add(time.Duration(rapid.IntRange(100, 1200).Draw(t, "pause")) * time.Millisecond)
+		v.read()
+	}
+	v.checkTerms(now)
+	for v.leader.claims.Len() > 0 {
+		c, err := v.leader.claims.Pop(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		v.carryOut(t, c)
+	}
+}
+
+func (v *simulatedVM) renew() {
+	s := v.store
+	until := v.now.Add(leaseTTL)
+	switch {
+	case v.lease != 0 && s.leases[v.lease] != 0: // also if the ID is now that of another VM's lease
+		s.leases[v.lease] = until
+		if v.leaseEra == s.era {
+			v.apply(leaseRenewed{era: s.era, until: until})
+			return
+		}
+		v.lease = 0
+	case v.lease != 0:
+		v.lease = 0
+		if v.leaseEra == s.era {
+			v.apply(leaseLost{})
+		}
+	}
+	s.lastLease++
+	v.lease, v.leaseEra = s.lastLease, s.era
+	s.leases[v.lease] = until
+	v.apply(leaseRenewed{era: s.era, until: until})
+}
+
+func (v *simulatedVM) read() {
+	m := v.listed(link.Position{Era: v.store.era, Revision: v.store.revision}, 1, 1)
+	for _, key := range slices.Sorted(maps.Keys(v.store.keys)) {
+		k := v.store.keys[key]
+		m.ownKeys = append(m.ownKeys, ownKeyChange{key: key, value: k.value, revision: k.revision})
+	}
+	v.apply(m)
+}
+
+func (v *simulatedVM) carryOut(t *rapid.T, c claim) {
+	if v.cut || v.lease == 0 || c.era != v.leaseEra {
+		return
+	}
+	value := marshal(holderEntry{Node: v.node, Address: v.address, Boot: v.boot, Era: c.era, PauseMs: c.pause.Milliseconds()})
+	revision := v.store.claim(c, value, v.lease)
+	if revision != 0 && v.store.era == c.era && rapid.IntRange(0, 9).Draw(t, "answer lost") > 0 {
+		v.apply(claimApplied{shard: c.shard, change: ownKeyChange{
+			key: keyHolder(c.shard), value: value, era: c.era, revision: revision,
+		}})
+	}
+}
+
+// TestOneLeaderOverRestores guards runners against orders of two leaders within the lease time, and against fences that do
+// not rise, while the store returns from older copies and VMs are suspended, cut from the store and restarted. It also
+// checks that a shard has a leader again once that is over.
+func TestOneLeaderOverRestores(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const step, shard = 50 * time.Millisecond, machine.Shard(3)
+		now := t0
+		store := &simulatedStore{
+			era: link.FirstEra, revision: 1, keys: make(map[string]leasedKey), leases: make(map[int64]clock.Instant),
+		}
+		vms := []*simulatedVM{newSimulatedVM("n1", 1, store, now), newSimulatedVM("n2", 2, store, now)}
+		copies := []simulatedStore{store.copyOf()} // one for each second
+		var lastVM string
+		var lastFence int64
+		var lastAt clock.Instant
+		play := func(duration time.Duration) {
+			for end := now.Add(duration); now.Before(end); now = now.Add(step) {
+				store.expire(now)
+				for _, v := range vms {
+					if now.Before(v.stoppedUntil) {
+						continue
+					}
+					v.run(t, now)
+					leadership := &v.leader.shards[shard].leadership
+					if !leadership.MayOrder(now) {
+						continue
+					}
+					fence := leadership.Term().Fence
+					if lastVM != "" && lastVM != v.node && now.Sub(lastAt) < 3*time.Second {
+						t.Fatalf("order of %s %v after one of %s", v.node, now.Sub(lastAt), lastVM)
+					}
+					if fence < lastFence || lastVM != v.node && fence == lastFence {
+						t.Fatalf("fence %d of %s after %d of %s", fence, v.node, lastFence, lastVM)
+					}
+					lastVM, lastFence, lastAt = v.node, fence, now
+				}
+				if age := now.Sub(t0); age%time.Second == 0 {
+					copies = append(copies, store.copyOf())
+				}
+			}
+		}
+		play(time.Duration(rapid.IntRange(0, 8000).Draw(t, "start")) * time.Millisecond)
+		boot := int64(10)
+		for i := range rapid.IntRange(1, 12).Draw(t, "events") {
+			n := rapid.IntRange(0, 1).Draw(t, "VM")
+			v := vms[n]
+			switch event := rapid.SampledFrom([]string{"restore", "suspend", "cut", "heal", "restart"}).Draw(t, fmt.Sprint("event", i)); event {
+			case "restore":
+				back := min(len(copies), rapid.IntRange(1, 10).Draw(t, "age"))
+				store.restore(copies[len(copies)-back], time.Duration(back)*time.Second)
+			case "suspend":
+				v.stoppedUntil = now.Add(time.Duration(rapid.IntRange(100, 7000).Draw(t, "for")) * time.Millisecond)
+			case "cut", "heal":
+				v.cut = event == "cut"
+			case "restart":
+				boot++
+				vms[n] = newSimulatedVM(v.node, boot, store, now)
+				vms[n].cut = v.cut
+			}
+			play(time.Duration(rapid.SampledFrom([]int{0, 100, 700, 2000, 5000}).Draw(t, "pause")) * time.Millisecond)
+		}
+		for _, v := range vms {
+			v.cut, v.stoppedUntil = false, 0
+		}
+		play(15 * time.Second)
+		if now.Sub(lastAt) > step {
+			t.Fatalf("no VM gives orders, the last one %v ago", now.Sub(lastAt))
+		}
+	})
+}
--- a/node/entry/routing_test.go
+++ b/node/entry/routing_test.go
@@ -352,3 +352,43 @@
 		t.Errorf("leadership %+v, want fence 9 and orders allowed at once", leadership)
 	}
 }
+
+// TestRestartKeepsPause guards runners against orders of two leaders within the lease time. A VM that takes a term anew
+// which began with a pause after another leader must keep the pause, in the same process or in a later one.
+func TestRestartKeepsPause(t *testing.T) {
+	for name, former := range map[string]holderEntry{
+		"same process":            {Node: "n1", Address: "10.0.0.1:7600", Boot: 1, PauseMs: 3000},
+		"process that has paused": {Node: "n1", Address: "10.0.0.1:7600", Boot: 0, PauseMs: 3000},
+	} {
+		h := newHarness()
+		h.setUp()
+		h.apply(leaseRenewed{until: h.now.Add(time.Hour)})
+		s := &h.leader.shards[2]
+		if former.Boot == 1 {
+			s.lastTermAtClaim = ownKeyChange{value: marshal(holderEntry{Node: "n2", Boot: 1}), revision: 4}
+			h.apply(claimApplied{shard: 2, change: ownKeyChange{value: marshal(former), revision: 9}})
+			h.apply(leaseLost{})
+			h.apply(leaseRenewed{until: h.now.Add(time.Hour)})
+		}
+		h.apply(storeChanged{sent: h.now, complete: true, ownKeys: []ownKeyChange{
+			{key: keyLastTerm(2), value: marshal(former), revision: 9},
+		}})
+		taken := h.now
+		var c claim
+		for c.shard != 2 {
+			h.checkTerms(h.now)
+			var err error
+			if c, err = h.leader.claims.Pop(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if c.pause != 3*time.Second {
+			t.Errorf("%s: claim %+v does not state the pause of 3 s", name, c)
+		}
+		own := marshal(holderEntry{Node: "n1", Address: "10.0.0.1:7600", Boot: 1, PauseMs: c.pause.Milliseconds()})
+		h.apply(claimApplied{shard: 2, change: ownKeyChange{value: own, revision: 12}})
+		if s.leadership.MayOrder(taken.Add(2900*time.Millisecond)) || !s.leadership.MayOrder(taken.Add(3*time.Second)) {
+			t.Errorf("%s: orders are not allowed from 3 s after the other leader on", name)
+		}
+	}
+}
--- a/node/entry/terms.go
+++ b/node/entry/terms.go
@@ -35,11 +35,16 @@
 	Address string `json:"address"`
 	Boot    int64  `json:"boot"`
 	Era     int64  `json:"era"` // of the store, in which the term was claimed
+	// PauseMs is the pause after another leader with which the term began. A later process of the same VM can't know how
+	// much of it was over.
+	PauseMs int64 `json:"pause_ms"`
 }
 
 // era returns the store's era in which the term was claimed. Earlier builds stated none.
 func (e holderEntry) era() int64 { return max(e.Era, link.FirstEra) }
 
+func (e holderEntry) pause() time.Duration { return time.Duration(e.PauseMs) * time.Millisecond }
+
 // isSelf reports whether the holder is this VM, in this process or an earlier one.
 func (r *routing) isSelf(e holderEntry) bool { return e.Node == r.node && e.Address == r.address }
 
@@ -51,6 +56,7 @@
 	era            int64 // of the store, in which the revisions were read
 	holderRevision int64
 	lastRevision   int64
+	pause          time.Duration // with which the term begins
 }
 
 func keyHolder(k machine.Shard) string { return prefixHolders + strconv.Itoa(int(k)) }
@@ -137,6 +143,11 @@
 	if !s.holderKey.gone {
 		c.holderRevision = s.holderKey.revision
 	}
+	previous, ordersFrom := r.previousOrders(s, now)
+	c.pause = max(0, ordersFrom.Sub(now))
+	if r.isSelf(previous) {
+		c.pause = max(c.pause, previous.pause())
+	}
 	r.leader.claims.TryPush(c)
 }
 
