Keep runners that left out of use when a copy of the store shows them

Cause: the store's return from an older copy brings back entries of runners that have left since, and lacks those of runners that have joined. The VMs took the former for new runners (DRAIN, requests to nobody) and, unless they had seen an outage of over a second themselves, dropped the latter. Change: the fleet remembers for a minute which processes of runners have left; the first listing after a restore does not bring them back for four seconds, in which the store removes entries that no runner renews. A restore counts as the end of an outage, so that entries which the copy lacks get the time to come back. Measured: TestRunnerThatLeftStaysGone and TestEntryThatTheCopyLacksComesBack are new (the second path needs an outage without the change); tests of node/entry and fleet pass.

--- a/fleet/link/ratelimit_test.go
+++ b/fleet/link/ratelimit_test.go
@@ -31,7 +31,7 @@
 	for _, r := range f.All() {
 		table.Limits.State(r, 2, start, start)
 	}
-	f.Remove("near")
+	f.Remove("near", start)
 	table.Prune(f)
 	if n := len(table.Limits.All()); n != 1 {
 		t.Errorf("%d limits after one of two runners is gone, want 1", n)
--- a/fleet/link/table_test.go
+++ b/fleet/link/table_test.go
@@ -107,7 +107,7 @@
 			case event == 8:
 				join(id)
 			case event == 9:
-				f.Remove(id)
+				f.Remove(id, start)
 				table.Prune(f)
 				delete(o.own, id)
 			}
--- /dev/null
+++ b/fleet/machine/departures.go
@@ -0,0 +1,55 @@
+package machine
+
+import (
+	"maps"
+	"time"
+
+	"github.com/mangopass/mangopass/duty/clock"
+)
+
+const (
+	// departureMemory is how long the fleet remembers that a runner has left. It is far longer than the time by which a copy
+	// of the platform's store is older than its present state.
+	departureMemory = time.Minute
+	// holdTime is how long the entry of a runner that has left is held back when an older copy of the store shows it. The
+	// store removes it sooner unless the runner lives: after three heartbeats of 1.2 s without one.
+	holdTime = 4 * time.Second
+)
+
+// departure is what is remembered of a runner that has left.
+type departure struct {
+	boot int64
+	at   clock.Instant
+}
+
+// heldEntry is an entry that is held back.
+type heldEntry struct {
+	announcement Announcement
+	until        clock.Instant
+}
+
+// Hold keeps back a runner's entry that an older copy of the store shows, if the runner has left. Release returns it later,
+// unless the entry is removed or written again before. It reports false if the runner is not known to have left.
+func (f *Fleet) Hold(a Announcement, now clock.Instant) bool {
+	d, left := f.departed[a.ID]
+	if !left || f.runners[a.ID] != nil || a.Boot > d.boot {
+		return false
+	}
+	if a.Boot == d.boot {
+		f.held[a.ID] = heldEntry{announcement: a, until: now.Add(holdTime)}
+	}
+	return true
+}
+
+// Release returns the held entries that the store has not removed for so long that their runners must live.
+func (f *Fleet) Release(now clock.Instant) []Announcement {
+	var out []Announcement
+	for id, h := range f.held {
+		if !now.Before(h.until) {
+			out = append(out, h.announcement)
+			delete(f.held, id)
+		}
+	}
+	maps.DeleteFunc(f.departed, func(_ RunnerID, d departure) bool { return now.Sub(d.at) > departureMemory })
+	return out
+}
--- a/fleet/machine/remotestate_test.go
+++ b/fleet/machine/remotestate_test.go
@@ -12,7 +12,7 @@
 func TestEarlyViewIsKept(t *testing.T) {
 	leader, planner := newSimulation(1, 4), newSimulation(1, 4)
 	planner.scheduler.authority = leadsNone{}
-	planner.fleet.Remove("r0")
+	planner.fleet.Remove("r0", planner.now)
 	leader.execute(leader.scheduler.Plan(false, leader.now), func() int { return 9 })
 	views := leader.scheduler.Views(0, Receiver{Name: "planner"}, fenceOne, leader.now)
 	if len(views) != 1 {
--- a/fleet/machine/runner.go
+++ b/fleet/machine/runner.go
@@ -161,10 +161,17 @@
 type Fleet struct {
 	runners map[RunnerID]*Runner
 	sorted  []*Runner // by ID, so that processes with the same runners make the same decisions
+
+	departed map[RunnerID]departure
+	held     map[RunnerID]heldEntry
 }
 
 // NewFleet returns an empty fleet.
-func NewFleet() *Fleet { return &Fleet{runners: make(map[RunnerID]*Runner)} }
+func NewFleet() *Fleet {
+	return &Fleet{
+		runners: make(map[RunnerID]*Runner), departed: make(map[RunnerID]departure), held: make(map[RunnerID]heldEntry),
+	}
+}
 
 // Get returns the runner with the given ID, or nil.
 func (f *Fleet) Get(id RunnerID) *Runner { return f.runners[id] }
@@ -188,8 +195,11 @@
 func (f *Fleet) Announce(a Announcement, now clock.Instant) Change {
 	r := f.runners[a.ID]
 	if r != nil && (a.Boot < r.Boot || a.Boot == r.Boot && a.Heartbeat < r.heartbeat) {
+		r.missingSince = 0 // its entry is there, if only as an older copy of the store shows it
 		return Outdated
 	}
+	delete(f.departed, a.ID)
+	delete(f.held, a.ID)
 	change := Updated
 	if r == nil || a.Boot > r.Boot {
 		change = Joined
@@ -208,10 +218,17 @@
 	return change
 }
 
-// Remove drops a runner, usually because its store entry was removed.
-func (f *Fleet) Remove(id RunnerID) {
+// Remove drops a runner, usually because its store entry was removed. It reports whether the runner was known.
+func (f *Fleet) Remove(id RunnerID, now clock.Instant) bool {
+	delete(f.held, id)
+	r := f.runners[id]
+	if r == nil {
+		return false
+	}
+	f.departed[id] = departure{boot: r.Boot, at: now}
 	delete(f.runners, id)
 	f.sort()
+	return true
 }
 
 // MissingGrace is the time after an outage of the store at which a runner whose entry lapsed in it counts as gone. The
@@ -221,6 +238,7 @@
 // MarkMissing records that a runner's entry lapsed during an outage of the store that ended at the given instant. The
 // runner stays usable for MissingGrace from then on, in which its entry can come back.
 func (f *Fleet) MarkMissing(id RunnerID, outageEndedAt clock.Instant) {
+	delete(f.held, id)
 	if r := f.runners[id]; r != nil && r.missingSince == 0 {
 		r.missingSince = outageEndedAt
 	}
@@ -235,7 +253,7 @@
 		}
 	}
 	for _, id := range gone {
-		f.Remove(id)
+		f.Remove(id, now)
 	}
 	return gone
 }
--- a/node/entry/routing.go
+++ b/node/entry/routing.go
@@ -133,6 +133,9 @@
 	for _, id := range r.fleet.Expire(now) {
 		r.log.Info("runner gone", "runner", id, "reason", "entry did not come back after the store's outage")
 	}
+	for _, a := range r.fleet.Release(now) {
+		r.applyRunner(runnerChange{id: a.ID, announcement: a}, now)
+	}
 	r.reviewParts(now)
 	r.recordSettledEra(now)
 	r.dispatchWaiting(now)
--- a/node/entry/storechanges.go
+++ b/node/entry/storechanges.go
@@ -21,12 +21,17 @@
 		r.changes.Record(link.StoreEntry(*m.manifest))
 		r.noteWritten(m, r.applyManifest(m.manifest.Value, m.manifest.Revision, now))
 	}
+	fromCopy := m.complete && r.era.unread
 	present := make(map[machine.RunnerID]bool, len(m.runners))
 	for _, change := range m.runners {
 		present[change.id] = true
 		if r.isNews(change) {
 			r.changes.Record(link.StoreEntry(change.entry))
 		}
+		if fromCopy && change.invalid == nil && r.fleet.Hold(change.announcement, now) {
+			r.log.Info("runner held back", "runner", change.id, "reason", "it had left before the store was restored")
+			continue
+		}
 		r.applyRunner(change, now)
 	}
 	if m.complete {
@@ -44,6 +49,7 @@
 	}
 	r.changes.Advance(m.position.Revision)
 	r.applyOwnKeys(m.ownKeys, m.complete, now)
+	r.era.unread = r.era.unread && !m.complete
 	if r.manifest != nil {
 		r.freshness.Confirm(m.sent)
 	}
@@ -122,12 +128,11 @@
 	case change.gone && r.outageEndedAt != 0 && now.Sub(r.outageEndedAt) <= machine.MissingGrace:
 		r.fleet.MarkMissing(change.id, r.outageEndedAt)
 	case change.gone:
-		if r.fleet.Get(change.id) != nil {
-			r.fleet.Remove(change.id)
+		if r.fleet.Remove(change.id, now) {
 			r.log.Info("runner gone", "runner", change.id, "reason", "entry removed")
 		}
 	case change.invalid != nil:
-		r.fleet.Remove(change.id)
+		r.fleet.Remove(change.id, now)
 		r.log.Warn("runner entry rejected", "runner", change.id, "error", change.invalid.Error())
 	default:
 		a := change.announcement
--- a/node/entry/storeera.go
+++ b/node/entry/storeera.go
@@ -29,6 +29,7 @@
 	settled    int64 // as last read from the store
 	revision   int64 // of keySettledEra; zero: there is none
 	recordedAt clock.Instant
+	unread     bool // no listing has come since the store was restored
 }
 
 // enterEra takes note of the store's era that an answer shows. It returns false if the answer is of an earlier era than
@@ -46,6 +47,8 @@
 	if before == noEra {
 		return true
 	}
+	r.era.unread = true
+	r.outageEndedAt = max(r.outageEndedAt, now) // entries that the copy lacks come back as after an outage
 	r.log.Warn("store restored", "era", era, "before", before, "known_up_to", r.changes.Position().Revision)
 	return true
 }
--- a/node/entry/storeera_test.go
+++ b/node/entry/storeera_test.go
@@ -1,11 +1,13 @@
 package entry
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/mangopass/mangopass/duty/ring"
 	"github.com/mangopass/mangopass/fleet/link"
+	"github.com/mangopass/mangopass/fleet/machine"
 	"github.com/mangopass/mangopass/platform"
 )
 
@@ -286,3 +288,67 @@
 		}
 	}
 }
+
+// announced is a change of a runner's entry.
+func announced(id machine.RunnerID, boot, heartbeat int64) runnerChange {
+	return runnerChange{id: id, announcement: machine.Announcement{
+		ID: id, Service: "s", Address: "1.1.1.1:1", Zone: "z", Slots: 6, Boot: boot, Heartbeat: heartbeat,
+	}}
+}
+
+// TestRunnerThatLeftStaysGone guards runners that left against requests after the store has returned from a copy in which
+// their entries are still there. One that lives, because it starts again or its entry stays, is used again.
+func TestRunnerThatLeftStaysGone(t *testing.T) {
+	h := newHarness()
+	m := h.listed(link.Position{Era: link.FirstEra, Revision: 30}, 1, 20)
+	for _, id := range []machine.RunnerID{"gone", "back", "reborn", "stays"} {
+		m.runners = append(m.runners, announced(id, 1, 9))
+	}
+	h.apply(m)
+	for _, id := range []machine.RunnerID{"gone", "back", "reborn"} {
+		h.apply(storeChanged{
+			position: link.Position{Era: link.FirstEra, Revision: 40}, sent: h.now, runners: []runnerChange{{id: id, gone: true}},
+		})
+	}
+	m = h.listed(restored(31), 1, 20)
+	m.runners = []runnerChange{announced("gone", 1, 9), announced("back", 1, 8), announced("reborn", 2, 1), announced("stays", 1, 7)}
+	h.apply(m)
+	known := func(want ...machine.RunnerID) {
+		t.Helper()
+		h.onTick(h.now)
+		var got []machine.RunnerID
+		for _, r := range h.fleet.All() {
+			got = append(got, r.ID)
+		}
+		if !slices.Equal(got, want) {
+			t.Errorf("%v after the restore: runners %v, want %v", h.now.Sub(t0), got, want)
+		}
+	}
+	known("reborn", "stays")
+	h.apply(storeChanged{position: restored(33), sent: h.now, runners: []runnerChange{{id: "gone", gone: true}}})
+	h.now = h.now.Add(3900 * time.Millisecond)
+	known("reborn", "stays")
+	h.now = h.now.Add(100 * time.Millisecond)
+	known("back", "reborn", "stays")
+}
+
+// TestEntryThatTheCopyLacksComesBack guards live runners against being dropped when the store returns from a copy in which
+// they have no entry yet, however short the store was away. One whose entry does not come back is gone.
+func TestEntryThatTheCopyLacksComesBack(t *testing.T) {
+	h := newHarness()
+	m := h.listed(link.Position{Era: link.FirstEra, Revision: 30}, 1, 20)
+	m.runners = []runnerChange{announced("new", 1, 1), announced("lost", 1, 1)}
+	h.apply(m)
+	h.apply(h.listed(restored(25), 1, 20))
+	h.now = h.now.Add(2 * time.Second)
+	h.onTick(h.now)
+	h.apply(storeChanged{position: restored(26), sent: h.now, runners: []runnerChange{announced("new", 1, 2)}})
+	if h.fleet.Get("new") == nil || h.fleet.Get("lost") == nil {
+		t.Error("a runner is dropped before its entry can have come back")
+	}
+	h.now = h.now.Add(time.Second)
+	h.onTick(h.now)
+	if h.fleet.Get("new") == nil || h.fleet.Get("lost") != nil {
+		t.Error("the runner whose entry is back is gone, or the one whose entry is not back is known")
+	}
+}
--- a/node/entry/tree_test.go
+++ b/node/entry/tree_test.go
@@ -281,8 +281,8 @@
 	c := newCluster(t, 3)
 	c.run(time.Second)
 	last := c.vms[c.order[8]]
-	last.fleet.Remove("e1")
-	last.fleet.Remove("e2")
+	last.fleet.Remove("e1", last.now)
+	last.fleet.Remove("e2", last.now)
 	for _, planner := range []string{"vm-00", "vm-01"} {
 		last.apply(storeChanged{sent: last.now})
 		if _, d := last.admitChat(); d != nil {
