Don't block prompt parts anew that only a copy of the store blocks

Change: the first listing after a restore blocks no part at a VM that has run since; the planner removes the key. Measured: TestUnblockedPartStaysUnblocked fails without the change and passes.

--- a/node/entry/partkeeper.go
+++ b/node/entry/partkeeper.go
@@ -49,7 +49,7 @@
 		e.Blocks = 0
 	}
 	r.storedParts[part] = storedPart{revision: c.revision, blocks: e.Blocks}
-	if e.Blocks > 0 {
+	if e.Blocks > 0 && !r.era.unread { // the reports of the other VMs are newer than a copy of the store
 		r.adoptPart(link.StoredBlock(part, e.Blocks), "store", now)
 	}
 }
--- a/node/entry/storeera_test.go
+++ b/node/entry/storeera_test.go
@@ -352,3 +352,21 @@
 		t.Error("the runner whose entry is back is gone, or the one whose entry is not back is known")
 	}
 }
+
+// TestUnblockedPartStaysUnblocked guards requests with a prompt part that has proved sound: a copy of the store in which
+// the part is still blocked must not block it anew at a VM that has run since. A VM that starts blocks it.
+func TestUnblockedPartStaysUnblocked(t *testing.T) {
+	running, fresh := newHarness(), newHarness()
+	running.apply(running.listed(link.Position{Era: link.FirstEra, Revision: 30}, 1, 20))
+	for _, h := range []*harness{running, fresh} {
+		m := h.listed(restored(25), 1, 24)
+		m.ownKeys = []ownKeyChange{{key: prefixBlocked + "2", value: marshal(partEntry{Blocks: 1}), revision: 7}}
+		h.apply(m)
+		if _, blocked := h.promptParts.Blocked([]uint64{2}, h.now); blocked != (h == fresh) {
+			t.Errorf("the part is blocked: %v, want %v", blocked, h == fresh)
+		}
+		if h.storedParts[2].revision != 7 {
+			t.Error("the stored part is unknown, so that it can't be removed")
+		}
+	}
+}
