--- a/cmd/processtest/path_test.go
+++ b/cmd/processtest/path_test.go
@@ -170,6 +170,27 @@
 	}
 }
 
+// TestBrokenStreamIsNotCompletedByError guards against the text of an error, or a regular end, in the middle of a caller's
+// stream: the first runner breaks off, and the next one answers with an error.
+func TestBrokenStreamIsNotCompletedByError(t *testing.T) {
+	d := start(t)
+	for _, r := range d.Runners[:2] {
+		if err := d.SetFaults(t.Context(), r.Address, runner.Faults{BreakAfter: 3, FailResume: true}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	got := call(t, t.Context(), d.Entries[0].Callers, request{
+		method: "POST", path: "/chat/x", model: "tulip", id: "error", deadlineMs: 6000,
+	})
+	if got.status != http.StatusOK || got.err == nil {
+		t.Errorf("status %d, error %v; want 200 and a broken connection", got.status, got.err)
+	}
+	wantEvents(t, got.body, 3)
+	if runs := runsOf(t, d, "error"); len(runs) != 2 || runs[0].LastEvent == runs[1].LastEvent {
+		t.Errorf("runs %+v, want one that broke off and one that resumed", runs)
+	}
+}
+
 // TestNonResumableStreamBreaks guards against a truncated stream that looks complete to the caller: the runner breaks
 // the connection on a route whose streams can't be resumed.
 func TestNonResumableStreamBreaks(t *testing.T) {
--- a/standin/runner/http.go
+++ b/standin/runner/http.go
@@ -116,6 +116,10 @@
 	id := req.Header.Get("X-Mangopass-Request-Id")
 	w.Header().Set("X-Mangopass-Request-Id", id)
 	w.Header().Set("X-Mangopass-Response-Seal", "seal."+r.ID+"."+id)
+	if faults.FailResume && req.Header.Get("Last-Event-Id") != "" {
+		http.Error(w, "internal error", http.StatusInternalServerError)
+		return
+	}
 	if r.Engine {
 		if faults.CrashPart != "" && strings.Contains(req.Header.Get(headerPrompt), faults.CrashPart+":") {
 			w.Header().Set("Content-Type", "text/event-stream")
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -35,6 +35,7 @@
 	Reset      int  `json:"reset"`       // requests that run and whose connection breaks without an answer
 	BreakAfter int  `json:"break_after"` // events after which the next stream breaks
 	Shed       int  `json:"shed"`        // requests that are refused as not executed
+	FailResume bool `json:"fail_resume"` // requests that resume a stream run and are answered 500 with a text
 	Hang       int  `json:"hang"`        // requests that run and are never answered
 	Draining   bool `json:"draining"`    // the runner's entry in the store has the state draining
 	Unlisted   bool `json:"unlisted"`    // the runner's entry in the store is removed; it goes on to serve
