Restore the store in the soak, and check the time between orders of two leaders

Cause: the soak could not play a store that returns from an older copy, and its check of orders looked at fences only. Change: restores between the store's other faults, drawn from a stream of their own so that the other faults of a seed stay the same; the manifest is written again; orders of two holders must be 3 s apart, except right after a suspension.

--- a/standin/soak/check.go
+++ b/standin/soak/check.go
@@ -32,6 +32,10 @@
 	settled = 3 * time.Second
 	// heartbeat is the longest time until a change of a runner's entry is in the store.
 	heartbeat = 400 * time.Millisecond
+	// leaseTime is the time between the orders of two leaders, and thawTime that after the suspension of an entry VM in
+	// which its orders may still be on their way.
+	leaseTime = 3 * time.Second
+	thawTime  = 300 * time.Millisecond
 	// streamEvents is the number of events of a stream.
 	streamEvents = 12
 	// statedLimit is the limit, in requests a second, of a limited runner.
@@ -180,15 +184,20 @@
 	}
 }
 
-// checkRunner checks the orders of a runner: each fence has one holder, and none is followed by a lower one. No order may
-// load more than fits.
+// checkRunner checks the orders of a runner: each fence has one holder, none is followed by a lower one, and those of two
+// holders are as far apart as the lease time. No order may load more than fits.
 func (c *checker) checkRunner(index int, record runner.Record) {
 	if record.Overload {
 		c.report("runner %d was ordered to load more than fits", index)
 	}
 	holders := make(map[int64]string)
 	last := int64(0)
-	for _, o := range record.Orders {
+	for i, o := range record.Orders {
+		if at := o.At.Sub(c.Start); i > 0 && record.Orders[i-1].Holder != o.Holder && !c.thawed(at) {
+			if gap := o.At.Sub(record.Orders[i-1].At); gap < leaseTime {
+				c.report("runner %d got an order of %s %v after one of %s", index, o.Holder, gap, record.Orders[i-1].Holder)
+			}
+		}
 		if holder, ok := holders[o.Fence]; ok && holder != o.Holder {
 			c.report("runner %d got orders of %s and %s with fence %d", index, holder, o.Holder, o.Fence)
 		}
@@ -199,6 +208,13 @@
 	}
 }
 
+// thawed reports whether a suspension of an entry VM has just ended at a moment.
+func (c *checker) thawed(at time.Duration) bool {
+	return slices.ContainsFunc(c.Faults, func(f Fault) bool {
+		return f.Kind == EntryPaused && f.End <= at && at < f.End+thawTime
+	})
+}
+
 // disturbed reports whether an unplanned fault affects the time from a moment to another.
 func (c *checker) disturbed(from, to time.Duration) bool {
 	return slices.ContainsFunc(c.Faults, func(f Fault) bool {
--- a/standin/soak/check_test.go
+++ b/standin/soak/check_test.go
@@ -1,8 +1,10 @@
 package soak
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"reflect"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -27,7 +29,9 @@
 		Requests: []Request{answer("a", time.Second), answer("b", 16*time.Second)},
 		Records: []runner.Record{
 			{Runs: []runner.Run{run("a", time.Second), run("b", 16*time.Second)}},
-			{Orders: []runner.Order{{Holder: "entry-0", Fence: 3}, {Holder: "entry-1", Fence: 5}}},
+			{Orders: []runner.Order{
+				{Holder: "entry-0", Fence: 3, At: start.Add(time.Second)}, {Holder: "entry-1", Fence: 5, At: start.Add(4 * time.Second)},
+			}},
 		},
 	}
 }
@@ -58,6 +62,9 @@
 		"with fence 1 after 3": func(h *History) {
 			h.Records[1].Orders[1].Fence = 1
 		},
+		"2.9s after one of entry-0": func(h *History) {
+			h.Records[1].Orders[1].At = h.Records[1].Orders[0].At.Add(2900 * time.Millisecond)
+		},
 		"planned stop of entry 0": func(h *History) {
 			h.Faults = []Fault{{Kind: EntryStopped, Target: "entry", Start: 900 * time.Millisecond, End: 2 * time.Second}}
 			h.Requests[0].Status, h.Requests[0].Whole, h.Requests[0].Error = 0, false, "EOF"
@@ -113,8 +120,15 @@
 	if !reflect.DeepEqual(plan(7), plan(7)) || reflect.DeepEqual(plan(7), plan(8)) {
 		t.Error("two plans of a seed differ, or those of two seeds do not")
 	}
+	all := plan(9)
+	restores := PlanRestores(rand.New(rand.NewPCG(9, 1)), 20*time.Second, all)
+	if len(restores) == 0 {
+		t.Error("no restore of the store is planned")
+	}
+	all = append(all, restores...)
+	slices.SortFunc(all, func(a, b Fault) int { return cmp.Compare(a.Start, b.Start) })
 	busy := map[string]time.Duration{}
-	for _, f := range plan(9) {
+	for _, f := range all {
 		key := f.Target + string(rune('0'+f.Index))
 		if f.Start < busy[key] || f.End <= f.Start {
 			t.Errorf("fault %v overlaps another one of its target, or has no time", f)
--- a/standin/soak/plan.go
+++ b/standin/soak/plan.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -22,10 +23,11 @@
 	StoreSlow     Kind = "store_slow"
 	StoreLoses    Kind = "store_loses_answers"
 	StoreCompacts Kind = "store_compacts"
-	LinkDelayed   Kind = "link_delayed" // to a runner, or of an entry VM to the store, like the next three
-	LinkReset     Kind = "link_reset"   // connections are reset as soon as they carry bytes
-	LinkSilent    Kind = "link_silent"  // bytes are held back both ways
-	LinkCut       Kind = "link_cut"     // what the entry VM is to get is held back
+	StoreRestored Kind = "store_restored" // is away at the end, and returns as it was at the start
+	LinkDelayed   Kind = "link_delayed"   // to a runner, or of an entry VM to the store, like the next three
+	LinkReset     Kind = "link_reset"     // connections are reset as soon as they carry bytes
+	LinkSilent    Kind = "link_silent"    // bytes are held back both ways
+	LinkCut       Kind = "link_cut"       // what the entry VM is to get is held back
 	RunnerResets  Kind = "runner_resets"
 	RunnerSheds   Kind = "runner_sheds"
 	RunnerHangs   Kind = "runner_hangs"
@@ -71,6 +73,11 @@
 	firstFaultAt = time.Second
 	limitTime    = 6 * time.Second // of RunnerLimited, so that a window of its check fits in
 	leavingTime  = 4 * time.Second // of RunnerLeaves and RunnerDrains
+	// restoreGap is the largest time between two restores, restoreAge that by which the copy is older.
+	restoreGap = 9 * time.Second
+	restoreAge = 6 * time.Second
+	// restoreOutage is the time for which the store is away before it is restored.
+	restoreOutage = 400 * time.Millisecond
 )
 
 // Sizes is the number of targets of each kind; there is one store.
@@ -109,3 +116,22 @@
 	}
 	return faults
 }
+
+// PlanRestores draws restores of the store between its other faults. They come from a source of their own, so that the
+// other faults of a seed stay what they were.
+func PlanRestores(r *rand.Rand, duration time.Duration, others []Fault) []Fault {
+	var restores []Fault
+	for at := firstFaultAt; at < duration; {
+		at += time.Duration(r.Int64N(int64(restoreGap)))
+		f := Fault{Kind: StoreRestored, Target: "store", Start: at}
+		f.End = at + restoreOutage + time.Duration(r.Int64N(int64(restoreAge)))
+		overlaps := slices.ContainsFunc(others, func(o Fault) bool {
+			return o.Target == f.Target && o.Start < f.End && f.Start < o.End
+		})
+		if !overlaps && f.End < duration {
+			restores = append(restores, f)
+			at = f.End
+		}
+	}
+	return restores
+}
--- a/standin/soak/run.go
+++ b/standin/soak/run.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -43,6 +44,8 @@
 	// requests in a row that show it.
 	recoveryBound  = 12 * time.Second
 	recoveryProbes = 20
+	// restoreStream is the stream of random numbers for the restores; the callers' streams count up from 1.
+	restoreStream = 1 << 32
 	// stopTimeout is how long an entry VM may take for a planned stop.
 	stopTimeout = 12 * time.Second
 )
@@ -59,6 +62,7 @@
 	faults := Plan(random, s.Duration, Sizes{
 		Entries: s.Entries, Runners: len(x.deployment.Runners), Links: len(x.proxies),
 	})
+	faults = append(faults, PlanRestores(rand.New(rand.NewPCG(s.Seed, restoreStream)), s.Duration, faults)...)
 	x.callers = &callers{start: time.Now()}
 	for _, e := range x.deployment.Entries {
 		x.callers.entries = append(x.callers.entries, e.Callers)
@@ -90,6 +94,19 @@
 	group      *duty.Group // the proxies
 	proxies    []*Proxy    // of the runners' links, then of the entry VMs' links to the store
 	callers    *callers
+	keys       atomic.Pointer[putKeys] // of the newest manifest
+}
+
+// putKeys is a version of the manifest, with its keys.
+type putKeys struct {
+	version int
+	keys    []string
+}
+
+// putManifest writes a manifest and remembers it, so that it can be written again.
+func (x *execution) putManifest(ctx context.Context, k putKeys) error {
+	x.keys.Store(&k)
+	return x.deployment.PutManifest(ctx, x.manifest(k.version, k.keys...))
 }
 
 func (x *execution) startDeployment() error {
@@ -113,7 +130,7 @@
 		}
 		return err
 	}
-	if err := x.deployment.PutManifest(context.Background(), x.manifest(1, deploy.CallerKey, oldKey)); err != nil {
+	if err := x.putManifest(context.Background(), putKeys{version: 1, keys: []string{deploy.CallerKey, oldKey}}); err != nil {
 		return err
 	}
 	for _, r := range x.deployment.Runners {
@@ -158,7 +175,7 @@
 		})
 	}
 	duty.Pause(ctx, x.Duration/2-time.Since(x.callers.start))
-	if err := x.deployment.PutManifest(ctx, x.manifest(2, deploy.CallerKey)); err != nil {
+	if err := x.putManifest(ctx, putKeys{version: 2, keys: []string{deploy.CallerKey}}); err != nil {
 		playing.Stop()
 		return 0, err
 	}
@@ -179,6 +196,10 @@
 	case "entry":
 		x.playEntry(f, lasts)
 	case "store":
+		if f.Kind == StoreRestored {
+			x.playRestore(f)
+			return
+		}
 		faults := map[Kind]store.Faults{
 			StoreRefuses: {Refuse: true}, StoreSilent: {Silent: true}, StoreSlow: {SlowMs: 400},
 			StoreLoses: {LoseWrites: true}, StoreCompacts: {Compact: true},
@@ -202,6 +223,19 @@
 	}
 }
 
+// playRestore lets the store be away for a moment and return as it was at the start of the fault. The operators write the
+// manifest again, as the runners write their entries.
+func (x *execution) playRestore(f Fault) {
+	x.setFaults(x.deployment.Store, store.Faults{Save: true})
+	duty.Pause(x.ctx, f.End-restoreOutage-time.Since(x.callers.start))
+	x.setFaults(x.deployment.Store, store.Faults{Silent: true})
+	duty.Pause(x.ctx, f.End-time.Since(x.callers.start))
+	x.setFaults(x.deployment.Store, store.Faults{Restore: true})
+	for x.putManifest(x.ctx, *x.keys.Load()) != nil && x.ctx.Err() == nil {
+		duty.Pause(x.ctx, holdPeriod)
+	}
+}
+
 // setFaults sets the faults of a stand-in. Only a stand-in that has ended does not answer, and that is seen elsewhere.
 func (x *execution) setFaults(address string, faults any) {
 	_ = x.deployment.SetFaults(context.Background(), address, faults)
