Act on a runner's own word: it leaves, or it wants a pause

Change: both are decoded from every answer and kept for the runner's process, beside its rate limit: Leaving in the fleet, where neither the store nor an older copy undoes it, and told to all VMs with the reports; the pause in the check for limits, for orders and state queries too. After a pause requests go 50 ms apart for a second. Pauses count as no failure and are cut to rules.max_pause_s. Not done: the planner does not know of other VMs' pauses; 'mangopass explain' has no sentence of its own for them.

--- a/fleet/link/ratelimit.go
+++ b/fleet/link/ratelimit.go
@@ -137,9 +137,13 @@
 	return limit
 }
 
-// Admits reports whether a runner takes one more request now, and otherwise after which time it may. waited says that the
+// Admits reports whether a runner takes one more request now, as its limit and the pause that it has asked for allow, and
+// otherwise after which time it may. waited says that the
 // request has waited for that: such requests of all VMs come back at random times.
 func (l *RateLimits) Admits(r *machine.Runner, waited bool, now clock.Instant) (bool, time.Duration) {
+	if wait := r.Paused(now); wait > 0 {
+		return false, wait
+	}
 	limit := l.limited(r)
 	if limit == nil {
 		return true, 0
@@ -171,6 +175,7 @@
 
 // Sent counts a request that is sent to a runner.
 func (l *RateLimits) Sent(r *machine.Runner, now clock.Instant) {
+	r.Sent(now)
 	if limit := l.limited(r); limit != nil {
 		limit.Quota.Take(1, now)
 		limit.usedAt, limit.retryAt = now, 0
--- a/fleet/link/report.go
+++ b/fleet/link/report.go
@@ -42,6 +42,7 @@
 	Series     int64                  // identifies the running totals in Spent and Limits, which start anew with it
 	Spent      []QuotaUsage           // what was admitted for each organisation
 	Limits     []LimitUsage           // limits that runners have stated, and what was sent to them
+	Leaving    []machine.Process      // processes of runners that have stated that they leave: all if Whole, else those not reported yet
 	Asked      []machine.DemandReport // requests since the last report, and those waiting now; only towards the planner
 	Struck     []uint64               // digests of requests with a broken run since the last report, once for each run
 	Broken     []BrokenRun            // runs that broke off since the last report, for the parts of their prompts
--- a/fleet/machine/departures.go
+++ b/fleet/machine/departures.go
@@ -8,18 +8,21 @@
 )
 
 const (
-	// departureMemory is how long the fleet remembers that a runner has left. It is far longer than the time by which a copy
-	// of the platform's store is older than its present state.
-	departureMemory = time.Minute
+	// departureMemory is how long the fleet remembers a runner that has left, and what it has stated. It is far longer than
+	// the time by which a copy of the platform's store is older than its present state.
+	departureMemory = 5 * time.Minute
 	// holdTime is how long the entry of a runner that has left is held back when an older copy of the store shows it. The
 	// store removes it sooner unless the runner lives: after three heartbeats of 1.2 s without one.
 	holdTime = 4 * time.Second
 )
 
-// departure is what is remembered of a runner that has left.
+// departure is what is remembered of a process of a runner that is not in the fleet: it has left, or its entry has not
+// been read yet.
 type departure struct {
-	boot int64
-	at   clock.Instant
+	boot        int64
+	at          clock.Instant
+	leaving     bool // it has stated that it leaves
+	pausedUntil clock.Instant
 }
 
 // heldEntry is an entry that is held back.
--- a/fleet/machine/placement.go
+++ b/fleet/machine/placement.go
@@ -194,7 +194,7 @@
 			state.sharedAt = now
 		}
 		switch {
-		case state.pending != nil || state.holdUntil.After(now):
+		case state.pending != nil || state.holdUntil.After(now) || r.Paused(now) > 0:
 		case !state.synced && !state.queryPending && !state.nextQuery.After(now):
 			state.queryPending = true
 			plan.StateQueries = append(plan.StateQueries, r)
@@ -267,7 +267,7 @@
 // idle reports whether a runner can take an order now.
 func (s *Scheduler) idle(r *Runner, now clock.Instant) bool {
 	if s.authority.MayOrder(r.ID, now) {
-		return s.localState(r).idle(now)
+		return s.localState(r).idle(now) && r.Paused(now) == 0
 	}
 	return s.remoteState(r).idle(now) && s.authority.HearsLeader(r.ID)
 }
--- a/fleet/machine/runner.go
+++ b/fleet/machine/runner.go
@@ -77,6 +77,12 @@
 	LeavesAt clock.Instant // zero: not known to leave
 	Engine   bool          // the runner is a model engine
 
+	// StatedLeaving says that the runner has stated in an answer that it leaves.
+	StatedLeaving bool
+	// PausedUntil is the end of the pause that the runner has asked of this VM; zero: none.
+	PausedUntil    clock.Instant
+	nextAfterPause clock.Instant // when the next request may follow shortly after a pause
+
 	// RateLimit is the number of requests a second that the runner states to take from all entry VMs together; zero: it
 	// states no limit.
 	RateLimit float64
@@ -96,10 +102,10 @@
 // entry. Entries reach the store and this process up to two seconds late.
 const confirmedGrace = 3 * time.Second
 
-// Usable reports whether new requests may be sent to the runner: it is not draining, and its time to leave has not
-// come.
+// Usable reports whether new requests may be sent to the runner: it is not draining, has not stated that it leaves, and its
+// time to leave has not come.
 func (r *Runner) Usable(now clock.Instant) bool {
-	return !r.Draining && (r.LeavesAt == 0 || now.Before(r.LeavesAt))
+	return !r.Draining && !r.StatedLeaving && (r.LeavesAt == 0 || now.Before(r.LeavesAt))
 }
 
 // Missing reports whether the runner's entry lapsed during an outage of the store and has not come back.
@@ -198,8 +204,6 @@
 		r.missingSince = 0 // its entry is there, if only as an older copy of the store shows it
 		return Outdated
 	}
-	delete(f.departed, a.ID)
-	delete(f.held, a.ID)
 	change := Updated
 	if r == nil || a.Boot > r.Boot {
 		change = Joined
@@ -207,9 +211,14 @@
 			change = Restarted
 		}
 		r = newRunner(a)
+		if d := f.departed[a.ID]; d.boot == a.Boot {
+			r.StatedLeaving, r.PausedUntil = d.leaving, d.pausedUntil
+		}
 		f.runners[a.ID] = r
 		f.sort()
 	}
+	delete(f.departed, a.ID)
+	delete(f.held, a.ID)
 	wasDraining := r.Draining
 	r.applyAnnouncement(a, now)
 	if change == Updated && wasDraining == r.Draining {
@@ -225,7 +234,7 @@
 	if r == nil {
 		return false
 	}
-	f.departed[id] = departure{boot: r.Boot, at: now}
+	f.departed[id] = departure{boot: r.Boot, at: now, leaving: r.StatedLeaving, pausedUntil: r.PausedUntil}
 	delete(f.runners, id)
 	f.sort()
 	return true
--- a/node/entry/attempts.go
+++ b/node/entry/attempts.go
@@ -43,7 +43,9 @@
 			l.Started(m.attempt.artifact, m.attempt.prefill, m.attempt.timely, 0, 0)
 		}
 		l.Finished(m.attempt.artifact)
-		recordResult(l, m.result, now)
+		if !m.paused { // a runner that asks for a pause has not failed
+			recordResult(l, m.result, now)
+		}
 	}
 	if m.result == resultNoReplica {
 		r.leader.scheduler.HandleMissing(m.attempt.runner, m.attempt.artifact, now)
--- a/node/entry/callers.go
+++ b/node/entry/callers.go
@@ -13,6 +13,7 @@
 	"github.com/mangopass/mangopass/duty/ring"
 	"github.com/mangopass/mangopass/fleet/contract"
 	"github.com/mangopass/mangopass/fleet/link"
+	"github.com/mangopass/mangopass/fleet/machine"
 	"github.com/mangopass/mangopass/platform"
 )
 
@@ -141,7 +142,7 @@
 		Runner: a.runner, Address: a.address, Organisation: a.organisation, Remaining: a.deadline.Sub(begin),
 		Priority: a.priority, LastEvent: x.lastEventID,
 	})
-	x.reportLimit(a, answer, err)
+	end.paused = x.reportStated(a, answer, err)
 	if err == nil {
 		defer answer.Close()
 		end.answered, end.status, end.delimited = true, answer.Status, answer.Delimited()
@@ -161,18 +162,24 @@
 	return end
 }
 
-// reportLimit tells the routing duty of the rate limit that a runner states, or states no longer. A rejection without a
-// limit does not say that there is none.
-func (x *exchange) reportLimit(a attempt, answer *platform.Answer, err error) {
-	stated := limitStated{runner: a.runner, boot: a.boot, perSecond: platform.RateLimitOf(err)}
-	lifted := false
+// reportStated tells the routing duty what a runner states of itself, or that it states no rate limit any more. A rejection
+// without a limit does not say that there is none. It reports whether the runner asks for a pause.
+func (x *exchange) reportStated(a attempt, answer *platform.Answer, err error) (paused bool) {
+	stated, lifted := platform.StatedIn(err), false
 	if err == nil {
-		stated.perSecond = answer.RateLimit
-		lifted = a.limited && stated.perSecond == 0 && answer.Status/100 == http.StatusOK/100
+		stated = answer.Stated
+		lifted = a.limited && stated.RateLimit == 0 && answer.Status/100 == http.StatusOK/100
 	}
-	if stated.perSecond > 0 || lifted {
-		_ = x.routing.TryPush(stated) // the next answer states it again
+	if stated.RateLimit > 0 || lifted {
+		// The next answer states it again if the ring is full.
+		_ = x.routing.TryPush(limitStated{runner: a.runner, boot: a.boot, perSecond: stated.RateLimit})
 	}
+	if stated.Leaving || stated.Pause > 0 || stated.Malformed != "" {
+		_ = x.routing.Push(context.WithoutCancel(x.call.ctx), runnerStated{ // fails only when the process stops
+			process: machine.Process{Runner: a.runner, Boot: a.boot}, stated: stated, at: clock.Now(),
+		})
+	}
+	return stated.Pause > 0
 }
 
 var (
--- a/node/entry/leader.go
+++ b/node/entry/leader.go
@@ -211,6 +211,7 @@
 
 // apply passes the outcome of an order to the scheduler.
 func (m orderAnswered) apply(r *routing, now clock.Instant) {
+	r.heardFrom(machine.Process{Runner: m.order.Runner, Boot: m.order.Boot}, m.stated, m.at, now)
 	r.leader.scheduler.HandleOutcome(m.order, m.outcome, now)
 	r.log.Info("order", "runner", m.order.Runner, "kind", m.order.Kind.String(), "model", m.order.Model,
 		"adapter", m.order.Adapter, "expected", m.order.Expected, "fence", m.order.Term.Fence,
@@ -220,6 +221,7 @@
 
 // apply passes a runner's answer to a state query to the scheduler.
 func (m runnerReported) apply(r *routing, now clock.Instant) {
+	r.heardFrom(machine.Process{Runner: m.runner, Boot: m.boot}, m.stated, m.at, now)
 	r.leader.scheduler.HandleReport(m.runner, m.boot, m.contents, m.err == nil, now)
 	r.log.Info("runner queried", "runner", m.runner, "sequence", m.contents.Sequence, "busy", m.contents.Busy,
 		"models", len(m.contents.Models), "cause", errorText(m.err))
--- a/node/entry/members.go
+++ b/node/entry/members.go
@@ -59,6 +59,7 @@
 	urgent            bool          // a report is due before its period ends
 	knownVersion      uint64        // version of this VM's runner states that it has
 	loadRequests      []machine.LoadRequest
+	unreportedLeaving []machine.Process                     // processes of runners to report to it that have stated to leave
 	unreportedCrashes []uint64                              // request digests of broken runs to report to it
 	reportedLimits    map[machine.RunnerID]reportedLimit    // limits and totals that were last reported to it
 	partUpdates       partUpdates                           // to report to it
--- a/node/entry/message.go
+++ b/node/entry/message.go
@@ -104,6 +104,13 @@
 	perSecond float64 // zero: the answer states none
 }
 
+// runnerStated is what a runner has stated of itself in an answer that came at the given instant, beside its rate limit.
+type runnerStated struct {
+	process machine.Process
+	stated  platform.Stated
+	at      clock.Instant
+}
+
 // attemptEnded is the end of an attempt. The call waits for a further decision unless final is set.
 type attemptEnded struct {
 	call          *call
@@ -114,6 +121,7 @@
 	status        int           // of the answer; zero: none
 	delimited     bool          // the answer tells where it ends, so that a complete one is known to be complete
 	lost          bool          // the connection ended before the answer did
+	paused        bool          // the runner has rejected it and asked for a pause
 	answered      bool          // the head of the answer has arrived
 	answering     time.Duration // time since then
 	started       bool          // the first event has arrived
@@ -184,12 +192,16 @@
 		outcome machine.OrderOutcome
 		cause   error
 		took    time.Duration
+		stated  platform.Stated
+		at      clock.Instant // when the answer came
 	}
 	runnerReported struct {
 		runner   machine.RunnerID
 		boot     int64
 		contents machine.Contents
 		err      error
+		stated   platform.Stated
+		at       clock.Instant // when the answer came
 	}
 )
 
--- a/node/entry/metrics.go
+++ b/node/entry/metrics.go
@@ -12,21 +12,24 @@
 
 // entryMetrics holds the metrics of an entry VM.
 type entryMetrics struct {
-	sent            prometheus.Counter
-	results         *prometheus.CounterVec
-	refused         *prometheus.CounterVec
-	orders          *prometheus.CounterVec
-	firstEvent      prometheus.Histogram
-	request         *prometheus.HistogramVec
-	manifest        prometheus.Gauge
-	manifestAge     prometheus.Gauge
-	runners         *prometheus.GaugeVec
-	peers           *prometheus.GaugeVec
-	shards          prometheus.Gauge
-	waiting         prometheus.Gauge
-	planner         prometheus.Gauge
-	blockedParts    prometheus.Gauge
-	gaugesUpdatedAt clock.Instant
+	sent         prometheus.Counter
+	results      *prometheus.CounterVec
+	refused      *prometheus.CounterVec
+	orders       *prometheus.CounterVec
+	firstEvent   prometheus.Histogram
+	request      *prometheus.HistogramVec
+	manifest     prometheus.Gauge
+	manifestAge  prometheus.Gauge
+	runners      *prometheus.GaugeVec
+	peers        *prometheus.GaugeVec
+	shards       prometheus.Gauge
+	waiting      prometheus.Gauge
+	planner      prometheus.Gauge
+	blockedParts prometheus.Gauge
+	pauses       prometheus.Counter
+
+	rejectedStatements prometheus.Counter
+	gaugesUpdatedAt    clock.Instant
 }
 
 // gaugePeriod is the shortest time between two updates of the gauges.
@@ -57,6 +60,13 @@
 			Help:    "Time from a request's arrival to its end by outcome.",
 			Buckets: prometheus.ExponentialBuckets(0.01, 2, 12),
 		}, []string{"outcome"}),
+		pauses: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: metrics.Namespace, Name: "runner_pauses_total", Help: "Pauses that runners have asked of this VM.",
+		}),
+		rejectedStatements: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: metrics.Namespace, Name: "runner_statements_rejected_total",
+			Help: "Statements of runners that can't be read, and pauses that were cut to the longest allowed one.",
+		}),
 		manifest: newGauge("manifest_version", "Version of the manifest in force."),
 		manifestAge: newGauge("manifest_proof_age_seconds",
 			"Time since the store last confirmed that the manifest is the newest."),
@@ -73,7 +83,7 @@
 			"Prompt parts whose requests are refused because they crash runners."),
 	}
 	r.MustRegister(m.sent, m.results, m.refused, m.orders, m.firstEvent, m.request, m.manifest, m.manifestAge,
-		m.runners, m.peers, m.shards, m.waiting, m.planner, m.blockedParts)
+		m.runners, m.peers, m.shards, m.waiting, m.planner, m.blockedParts, m.pauses, m.rejectedStatements)
 	return m
 }
 
@@ -100,6 +110,7 @@
 	}
 	m.runners.WithLabelValues("usable").Set(float64(usable))
 	m.runners.WithLabelValues("limited").Set(float64(limited))
+	m.runners.WithLabelValues("paused").Set(float64(r.pausedRunners(now)))
 	m.runners.WithLabelValues("leaving").Set(float64(len(r.fleet.All()) - usable))
 	heard := r.members.countHeard(now)
 	m.peers.WithLabelValues("heard").Set(float64(heard))
--- a/node/entry/orders.go
+++ b/node/entry/orders.go
@@ -35,13 +35,16 @@
 // execute sends one order, unless its term may have ended meanwhile, or one state query.
 func (o *orderSender) execute(ctx context.Context, job orderJob) message {
 	if job.query {
-		contents, err := o.runners.FetchReport(ctx, job.runner, job.address)
-		return runnerReported{runner: job.runner, boot: job.boot, contents: contents, err: err}
+		contents, stated, err := o.runners.FetchReport(ctx, job.runner, job.address)
+		return runnerReported{
+			runner: job.runner, boot: job.boot, contents: contents, err: err, stated: stated, at: clock.Now(),
+		}
 	}
 	sent := clock.Now()
 	if !sent.Before(job.order.Expires) || !job.live.Load() {
 		return orderAnswered{order: job.order, outcome: machine.OrderNotSent}
 	}
-	outcome, err := o.runners.SendOrder(ctx, job.order)
-	return orderAnswered{order: job.order, outcome: outcome, cause: err, took: clock.Now().Sub(sent)}
+	outcome, stated, err := o.runners.SendOrder(ctx, job.order)
+	now := clock.Now()
+	return orderAnswered{order: job.order, outcome: outcome, cause: err, took: now.Sub(sent), stated: stated, at: now}
 }
--- a/node/entry/reports.go
+++ b/node/entry/reports.go
@@ -125,6 +125,7 @@
 	}
 	report.Loads, report.Spent = r.loadsFor(name, p), r.quotaUsageFor(name, p, now)
 	report.Limits = r.limitUsageFor(name, p, now)
+	report.Leaving = r.leavingFor(p)
 	report.Struck, p.unreportedCrashes = p.unreportedCrashes, nil
 	r.addPartUpdates(report, p, now)
 	if p == r.towardsPlanner() {
@@ -271,6 +272,7 @@
 		}
 	}
 	r.applyLimitUsage(in, now)
+	r.applyLeaving(in, now)
 	for _, digest := range in.Struck {
 		r.countCrash(digest, in.Node, now)
 	}
--- a/node/entry/routing_test.go
+++ b/node/entry/routing_test.go
@@ -37,7 +37,7 @@
 		Zones: map[zoneID]regionID{"x": "r", "y": "r", "z": "r"},
 		Rules: settings.Rules{
 			RevokeMs: 5000, LeaseMs: 3000, RetryRatio: 0.2, RetryExtra: 50, RetryWindowS: 10, GraceS: 8,
-			QuotaWindowS: 8,
+			QuotaWindowS: 8, MaxPauseS: 30,
 		},
 	}
 	h := &harness{
--- a/node/entry/status.go
+++ b/node/entry/status.go
@@ -41,7 +41,9 @@
 	Service  string               `json:"service"`
 	Zone     string               `json:"zone"`
 	Usable   bool                 `json:"usable"`
-	Ejected  bool                 `json:"avoided"` // because of failed answers
+	Ejected  bool                 `json:"avoided"`   // because of failed answers
+	Leaving  bool                 `json:"leaving"`   // it has stated so
+	PausedMs int64                `json:"paused_ms"` // until the end of the pause that it has asked for
 	QueuedMs int64                `json:"queued_ms"`
 	Models   []contract.ModelName `json:"models"`
 }
@@ -76,6 +78,7 @@
 		status := RunnerStatus{
 			ID: string(runner.ID), Service: string(runner.Service), Zone: string(runner.Zone),
 			Usable: runner.Usable(now), Ejected: r.table.Link(runner).Ejected(now),
+			Leaving: runner.StatedLeaving, PausedMs: runner.Paused(now).Milliseconds(),
 			QueuedMs: r.table.Queued(runner.ID).Milliseconds(), Models: []contract.ModelName{},
 		}
 		for m := range runner.Replicas {
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -49,6 +49,7 @@
 	QuotaOver    float64 `json:"quota_over" doc:"share by which a limit may be exceeded"`
 	QuotaSlack   float64 `json:"quota_slack" doc:"tokens or requests beyond that in each window"`
 	QuotaWindowS float64 `json:"quota_window_s" doc:"that window, in s"`
+	MaxPauseS    float64 `json:"max_pause_s" doc:"longest pause that a runner can ask of this VM, in s"`
 }
 
 // Defaults of the rules that may be omitted.
@@ -59,12 +60,13 @@
 	defaultRevokeMs     = 5000
 	defaultRetryWindowS = 10
 	defaultQuotaWindowS = 8
+	defaultMaxPauseS    = 30
 )
 
 func defaultRules() Rules {
 	return Rules{
 		RevokeMs: defaultRevokeMs, GraceS: defaultGraceS, LeaseMs: defaultLeaseMs, MinLeaseMs: defaultMinLeaseMs,
-		RetryWindowS: defaultRetryWindowS, QuotaWindowS: defaultQuotaWindowS,
+		RetryWindowS: defaultRetryWindowS, QuotaWindowS: defaultQuotaWindowS, MaxPauseS: defaultMaxPauseS,
 	}
 }
 
@@ -85,6 +87,9 @@
 	return time.Duration(r.RetryWindowS * float64(time.Second))
 }
 
+// MaxPause returns the longest pause that a runner can ask of this VM.
+func (r Rules) MaxPause() time.Duration { return time.Duration(r.MaxPauseS * float64(time.Second)) }
+
 // Load reads and validates a settings file. It also returns the file's text, so that a caller can detect later changes.
 // The error lists every invalid field by its path.
 func Load(path string) (*Entry, string, error) {
@@ -202,5 +207,8 @@
 	if s.Rules.RevokeMs <= 0 || s.Rules.GraceS <= 0 || s.Rules.LeaseMs <= 0 || s.Rules.QuotaWindowS <= 0 {
 		report("rules", "revoke_ms, grace_s, lease_ms and quota_window_s must be positive")
 	}
+	if s.Rules.MaxPauseS <= 0 {
+		report("rules.max_pause_s", "must be positive")
+	}
 	return invalid
 }
--- a/standin/runner/http.go
+++ b/standin/runner/http.go
@@ -94,7 +94,13 @@
 	if faults.RateLimit > 0 {
 		w.Header().Set("Server-Limit", strconv.FormatFloat(faults.RateLimit, 'f', -1, 64))
 	}
+	if faults.Leaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	if status != 0 {
+		if faults.PauseS > 0 {
+			w.Header().Set("Retry-After", strconv.FormatFloat(faults.PauseS, 'f', -1, 64))
+		}
 		if status == http.StatusServiceUnavailable {
 			w.Header().Set("X-Mangopass-Not-Executed", "1")
 		}
@@ -156,6 +162,10 @@
 	if r.Engine && !r.canServe(model) {
 		return runFaults{Faults: r.faults}, 0, http.StatusMisdirectedRequest
 	}
+	if r.faults.PauseS > 0 {
+		r.record.Refused = append(r.record.Refused, Refusal{Request: h.Get("X-Mangopass-Request-Id"), At: time.Now()})
+		return runFaults{Faults: r.faults}, 0, http.StatusServiceUnavailable
+	}
 	if r.running >= r.Slots || r.faults.Shed > 0 {
 		r.faults.Shed = max(0, r.faults.Shed-1)
 		return runFaults{Faults: r.faults}, 0, http.StatusServiceUnavailable
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -45,6 +45,11 @@
 	// with the part, and starts again with the models of its spec. Empty: none.
 	CrashPart string `json:"crash_part"`
 
+	Leaving bool `json:"leaving"` // the runner states in its answers that it leaves; its entry stays as it is
+
+	// PauseS is the pause, in seconds, that the runner asks for while it refuses all requests as not executed; zero: none.
+	PauseS float64 `json:"pause_s"`
+
 	// RateLimit is the number of requests a second that the runner states to take in its answers; zero: none. It takes
 	// more all the same.
 	RateLimit float64 `json:"rate_limit"`
@@ -80,9 +85,16 @@
 	Orders   []Order `json:"orders"`
 	Overload bool    `json:"overload"` // an order exceeded the memory for models or the adapter slots
 
+	Refused   []Refusal   `json:"refused"` // with a pause
 	CrashedAt []time.Time `json:"crashed_at"`
 }
 
+// Refusal is a request that the runner has refused while it asked for a pause.
+type Refusal struct {
+	Request string    `json:"request"`
+	At      time.Time `json:"at"`
+}
+
 // Runner is the state of a stand-in runner. It is safe for concurrent use.
 type Runner struct {
 	Spec
