Play runners that say they leave or want a pause in the soak

Cause: the soak played neither statement, so nothing but tests of one fault at a time showed that they are kept. Change: two faults, drawn with the restores from the stream of added faults; a runner that says that it leaves gets no request 2 s after its first answer, one that asks for a pause at most three of each VM from half a second after a refusal on.

--- a/node/explain/explain.go
+++ b/node/explain/explain.go
@@ -206,7 +206,7 @@
 	"rate_limited":      "the organisation was over its limit, counted over all VMs",
 	"no_replica":        "no runner had the model in time; the orders above, or their absence, show why",
 	"no_runner":         "no runner of the service was usable; look for 'runner changed' and 'runner gone'",
-	"overloaded":        "the VM or all runners that were tried were full or at their rate limits, or the deadline had passed before the request was sent",
+	"overloaded":        "the VM or all runners that were tried were full, at their rate limits or had asked for a pause, or the deadline had passed before the request was sent",
 	"crash_suspect":     "earlier runs of the request, or of requests with the same prompt part, had crashed several runners",
 	"deadline_exceeded": "the runner did not answer within the deadline",
 	"runner_failed":     "the runner gave no complete answer and the request must not be repeated",
--- a/standin/soak/check.go
+++ b/standin/soak/check.go
@@ -36,6 +36,12 @@
 	// which its orders may still be on their way.
 	leaseTime = 3 * time.Second
 	thawTime  = 300 * time.Millisecond
+	// statedPause is the pause that a runner asks for. pauseStart is the time after a refusal in which further requests may
+	// still be on their way, and pauseRuns the number that each entry VM may send from then on until the end of the pause;
+	// each VM has to be refused once itself.
+	statedPause = 2 * time.Second
+	pauseStart  = 500 * time.Millisecond
+	pauseRuns   = 3
 	// streamEvents is the number of events of a stream.
 	streamEvents = 12
 	// statedLimit is the limit, in requests a second, of a limited runner.
@@ -249,6 +255,10 @@
 		c.checkLeaving(f)
 	case RunnerLimited:
 		c.checkLimit(f)
+	case RunnerSays:
+		c.checkSaying(f)
+	case RunnerPauses:
+		c.checkPause(f)
 	}
 }
 
@@ -273,6 +283,37 @@
 	}
 }
 
+// checkSaying checks that a runner which says that it leaves gets no requests after leavingBound from its first answer on.
+func (c *checker) checkSaying(f Fault) {
+	heard := time.Duration(0)
+	for _, run := range c.Records[f.Index].Runs {
+		at := c.at(run)
+		if q := c.requests[run.Request]; heard == 0 && at > f.Start && q.Status != 0 && q.Whole {
+			heard = q.Ended
+		}
+		if heard != 0 && at > heard+leavingBound && at < f.End && !c.unplanned(f.Start, at) {
+			c.report("%s reached runner %d %v after it had said that it leaves", run.Request, f.Index, at-heard)
+		}
+	}
+}
+
+// checkPause checks that a runner gets hardly any requests in the pause that it has asked for.
+func (c *checker) checkPause(f Fault) {
+	refused := c.Records[f.Index].Refused
+	for i, first := range refused {
+		start, inPause := first.At.Sub(c.Start), 0
+		for _, next := range refused[i+1:] {
+			if after := next.At.Sub(first.At); after > pauseStart && after < statedPause {
+				inPause++
+			}
+		}
+		if start >= f.Start && start < f.End && inPause > pauseRuns*max(1, len(c.PeakMB)) && !c.unplanned(f.Start, start+statedPause) {
+			c.report("runner %d got %d requests in the pause that it had asked for", f.Index, inPause)
+			return
+		}
+	}
+}
+
 // checkLimit checks that a limited runner gets no more than its limit allows.
 func (c *checker) checkLimit(f Fault) {
 	allowed := int(limitOver*statedLimit*limitWindow.Seconds()) + limitSlack
--- a/standin/soak/check_test.go
+++ b/standin/soak/check_test.go
@@ -83,6 +83,19 @@
 				h.Records[0].Runs = append(h.Records[0].Runs, at(h, 9*time.Second))
 			}
 		},
+		"had said that it leaves": func(h *History) {
+			h.Faults = []Fault{{Kind: RunnerSays, Target: "runner", Start: 900 * time.Millisecond, End: 17 * time.Second}}
+		},
+		"in the pause that": func(h *History) {
+			h.Faults = []Fault{{Kind: RunnerPauses, Target: "runner", Start: 0, End: 4 * time.Second}}
+			for i := range 5 {
+				h.Records[0].Refused = append(h.Records[0].Refused, runner.Refusal{
+					At: h.Start.Add(time.Second + time.Duration(i)*400*time.Millisecond),
+				})
+			}
+			h.Records[0].Refused = append(h.Records[0].Refused, runner.Refusal{At: h.Start.Add(2700 * time.Millisecond)},
+				runner.Refusal{At: h.Start.Add(2800 * time.Millisecond)})
+		},
 		"its limit allows": func(h *History) {
 			h.Faults = []Fault{{Kind: RunnerLimited, Target: "runner", Start: 0, End: limitTime}}
 			for range 18 {
@@ -122,11 +135,11 @@
 		t.Error("two plans of a seed differ, or those of two seeds do not")
 	}
 	all := plan(9)
-	restores := PlanRestores(rand.New(rand.NewPCG(9, 1)), 20*time.Second, all)
-	if len(restores) == 0 {
-		t.Error("no restore of the store is planned")
+	added := PlanAdded(rand.New(rand.NewPCG(9, 1)), 20*time.Second, Sizes{Entries: 3, Runners: 7, Links: 10}, all)
+	if len(added) == 0 {
+		t.Error("no fault is added")
 	}
-	all = append(all, restores...)
+	all = append(all, added...)
 	slices.SortFunc(all, func(a, b Fault) int { return cmp.Compare(a.Start, b.Start) })
 	busy := map[string]time.Duration{}
 	for _, f := range all {
--- a/standin/soak/plan.go
+++ b/standin/soak/plan.go
@@ -34,11 +34,14 @@
 	RunnerLimited Kind = "runner_limited"
 	RunnerLeaves  Kind = "runner_leaves" // its entry is removed; it goes on to serve
 	RunnerDrains  Kind = "runner_drains"
+	RunnerSays    Kind = "runner_says_it_leaves" // in its answers; its entry stays as it is
+	RunnerPauses  Kind = "runner_pauses"         // refuses all requests and states a time to come back
 )
 
 // planned reports whether the fault is planned work, which must break no request.
 func (k Kind) planned() bool {
-	return k == EntryStopped || k == RunnerLeaves || k == RunnerDrains || k == RunnerLimited || k == StoreCompacts
+	return k == EntryStopped || k == RunnerLeaves || k == RunnerDrains || k == RunnerLimited || k == StoreCompacts ||
+		k == RunnerSays || k == RunnerPauses
 }
 
 // kindsByTarget lists the faults of each kind of target.
@@ -73,9 +76,8 @@
 	firstFaultAt = time.Second
 	limitTime    = 6 * time.Second // of RunnerLimited, so that a window of its check fits in
 	leavingTime  = 4 * time.Second // of RunnerLeaves and RunnerDrains
-	// restoreGap is the largest time between two restores, restoreAge that by which the copy is older.
-	restoreGap = 9 * time.Second
-	restoreAge = 6 * time.Second
+	addedGap     = 6 * time.Second // the largest time between the starts of two added faults
+	restoreAge   = 6 * time.Second // the largest time by which the copy is older
 	// restoreOutage is the time for which the store is away before it is restored.
 	restoreOutage = 400 * time.Millisecond
 )
@@ -117,21 +119,25 @@
 	return faults
 }
 
-// PlanRestores draws restores of the store between its other faults. They come from a source of their own, so that the
-// other faults of a seed stay what they were.
-func PlanRestores(r *rand.Rand, duration time.Duration, others []Fault) []Fault {
-	var restores []Fault
+// PlanAdded draws the faults that were added to the soak after seeds had failed. They come from a source of their own, so
+// that the other faults of a seed stay what they were, and don't overlap with those of the same target.
+func PlanAdded(r *rand.Rand, duration time.Duration, sizes Sizes, others []Fault) []Fault {
+	var added []Fault
 	for at := firstFaultAt; at < duration; {
-		at += time.Duration(r.Int64N(int64(restoreGap)))
-		f := Fault{Kind: StoreRestored, Target: "store", Start: at}
-		f.End = at + restoreOutage + time.Duration(r.Int64N(int64(restoreAge)))
-		overlaps := slices.ContainsFunc(others, func(o Fault) bool {
-			return o.Target == f.Target && o.Start < f.End && f.Start < o.End
+		at += time.Duration(r.Int64N(int64(addedGap)))
+		f := Fault{Kind: []Kind{StoreRestored, RunnerSays, RunnerPauses}[r.IntN(3)], Start: at}
+		switch f.Kind {
+		case StoreRestored:
+			f.Target, f.End = "store", at+restoreOutage+time.Duration(r.Int64N(int64(restoreAge)))
+		case RunnerSays, RunnerPauses:
+			f.Target, f.Index, f.End = "runner", r.IntN(sizes.Runners), at+leavingTime
+		}
+		overlaps := slices.ContainsFunc(append(others, added...), func(o Fault) bool {
+			return o.Target == f.Target && o.Index == f.Index && o.Start < f.End && f.Start < o.End
 		})
 		if !overlaps && f.End < duration {
-			restores = append(restores, f)
-			at = f.End
+			added = append(added, f)
 		}
 	}
-	return restores
+	return added
 }
--- a/standin/soak/run.go
+++ b/standin/soak/run.go
@@ -44,8 +44,8 @@
 	// requests in a row that show it.
 	recoveryBound  = 12 * time.Second
 	recoveryProbes = 20
-	// restoreStream is the stream of random numbers for the restores; the callers' streams count up from 1.
-	restoreStream = 1 << 32
+	// addedStream is the stream of random numbers for PlanAdded; the callers' streams count up from 1.
+	addedStream = 1 << 32
 	// stopTimeout is how long an entry VM may take for a planned stop.
 	stopTimeout = 12 * time.Second
 )
@@ -59,10 +59,9 @@
 		return Result{}, err
 	}
 	defer x.deployment.Stop()
-	faults := Plan(random, s.Duration, Sizes{
-		Entries: s.Entries, Runners: len(x.deployment.Runners), Links: len(x.proxies),
-	})
-	faults = append(faults, PlanRestores(rand.New(rand.NewPCG(s.Seed, restoreStream)), s.Duration, faults)...)
+	sizes := Sizes{Entries: s.Entries, Runners: len(x.deployment.Runners), Links: len(x.proxies)}
+	faults := Plan(random, s.Duration, sizes)
+	faults = append(faults, PlanAdded(rand.New(rand.NewPCG(s.Seed, addedStream)), s.Duration, sizes, faults)...)
 	x.callers = &callers{start: time.Now()}
 	for _, e := range x.deployment.Entries {
 		x.callers.entries = append(x.callers.entries, e.Callers)
@@ -220,6 +219,7 @@
 		faults := map[Kind]runner.Faults{
 			RunnerResets: {Reset: 5, BreakAfter: 3}, RunnerSheds: {Shed: 20}, RunnerHangs: {Hang: 3},
 			RunnerLimited: {RateLimit: statedLimit}, RunnerLeaves: {Unlisted: true}, RunnerDrains: {Draining: true},
+			RunnerSays: {Leaving: true}, RunnerPauses: {PauseS: statedPause.Seconds()},
 		}
 		x.setRunnerFaults(x.deployment.Runners[f.Index], faults[f.Kind])
 		lasts()
