Show a runner's word in explained requests, and test what callers get

Cause: 'mangopass explain' passed over what a runner had said to the VM of a request; no test showed what callers get if all runners want a pause, nor that the replica of a leaving runner is loaded elsewhere.

--- a/node/entry/stated_test.go
+++ b/node/entry/stated_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/mangopass/mangopass/fleet/contract"
 	"github.com/mangopass/mangopass/fleet/link"
 	"github.com/mangopass/mangopass/fleet/machine"
 	"github.com/mangopass/mangopass/platform"
@@ -160,3 +161,25 @@
 		t.Error("no state query after the pause")
 	}
 }
+
+// TestCallsOfPausedServiceAreRefused guards callers against waiting for runners that all want a pause beyond the time that
+// they have, and against returns that come back together when it ends.
+func TestCallsOfPausedServiceAreRefused(t *testing.T) {
+	const pause = 8 * time.Second
+	h := newHarness()
+	h.setUp("r1", "r2")
+	h.states("r1", 0, platform.Stated{Pause: pause + time.Second})
+	h.states("r2", 0, platform.Stated{Pause: pause})
+	returns := make(map[time.Duration]bool)
+	for range 20 {
+		_, d := h.admitCall("/open/", "")
+		wantRefusal(t, d, contract.Overloaded, false)
+		if d.refusal.RetryAfter < pause {
+			t.Errorf("the caller may return after %v, the first runner takes requests after %v", d.refusal.RetryAfter, pause)
+		}
+		returns[d.refusal.RetryAfter.Round(100*time.Millisecond)] = true
+	}
+	if len(returns) < 5 {
+		t.Errorf("20 callers return at %d instants, want them spread", len(returns))
+	}
+}
--- a/node/explain/explain.go
+++ b/node/explain/explain.go
@@ -45,6 +45,7 @@
 	TookMs     int64     `json:"took_ms,omitempty"`
 	Manifest   int64     `json:"manifest,omitempty"`
 	AgeMs      int64     `json:"manifest_age_ms,omitempty"`
+	PauseMs    int64     `json:"pause_ms,omitempty"`
 	MayHaveRun bool      `json:"may_have_run,omitempty"`
 	Final      bool      `json:"final,omitempty"`
 }
@@ -85,8 +86,9 @@
 	return lines, errors.Wrap(scanner.Err(), "read log")
 }
 
-// BuildTimeline returns the timeline of a request. It includes the orders for the request's model, and the reasons why
-// the model was not loaded, that were logged between the first and the last line of the request.
+// BuildTimeline returns the timeline of a request. It includes the orders for the request's model, the reasons why the
+// model was not loaded, and what the runners that were tried said of themselves to the VM of the request, that were logged
+// between the first and the last line of the request.
 func BuildTimeline(lines []Line, request string) (Timeline, error) {
 	var requestLines []Line
 	for _, l := range lines {
@@ -101,8 +103,14 @@
 	first, last := requestLines[0], requestLines[len(requestLines)-1]
 	model := modelOf(requestLines)
 	events := slices.Clone(requestLines)
+	tried := make(map[string]bool)
+	for _, l := range requestLines {
+		tried[l.Node+" "+l.Runner] = l.Runner != ""
+	}
 	for _, l := range lines {
-		if (l.Message == "order" || l.Message == "load delayed") && model != "" && l.Model == model &&
+		stated := l.Message == "runner paused" || l.Message == "runner leaves"
+		ofModel := (l.Message == "order" || l.Message == "load delayed") && model != "" && l.Model == model
+		if (ofModel || stated && tried[l.Node+" "+l.Runner]) &&
 			!l.Time.Before(first.Time) && !l.Time.After(last.Time) {
 			events = append(events, l)
 		}
@@ -155,6 +163,10 @@
 			text += " (" + l.Cause + ")"
 		}
 		return text
+	case "runner paused":
+		return fmt.Sprintf("runner %s wants nothing from this VM for %d ms", l.Runner, l.PauseMs)
+	case "runner leaves":
+		return fmt.Sprintf("runner %s has said that it leaves", l.Runner)
 	case "load delayed":
 		text := fmt.Sprintf("%s is not loaded: %s (gain %.1f, lost %.1f)",
 			artifact(l), obstacleTexts[l.Obstacle], l.Gain, l.Lost)
