Answer route queries of the API from a current manifest only

Callers of the OpenAI-style front end got 404 for a route and 401 for a key that had been added, and a list of routes for a key that had been withdrawn, from a VM whose manifest had not been proved for longer than the bound: after a suspension, a cut from the store or its return from an older copy. Found by reading, while looking for more places that act on a manifest without its proof. Cause: admission asks for a fresh manifest before it serves a key or refuses; the query of the front end did not. Change: refusals and lists of routes need a fresh manifest, 503 with Retry-After else. A route that is found is returned, since the request itself is admitted anew. Measured: TestRouteQueriesNeedFreshManifest failed for the three queries before and passes.

--- a/node/entry/admission.go
+++ b/node/entry/admission.go
@@ -62,9 +62,8 @@
 	}
 	admitted, refusal := r.manifest.Admit(c.request)
 	needsFreshManifest := refusal != nil || admitted.Organisation != nil
-	if needsFreshManifest && !r.freshness.Fresh(now) {
-		return contract.Refuse(contract.ManifestStale, manifestRetryAfter, "the manifest is %s old",
-			r.freshness.Age(now).Round(time.Millisecond))
+	if stale := r.manifestStale(now); needsFreshManifest && stale != nil {
+		return stale
 	}
 	if refusal != nil {
 		return refusal
@@ -83,6 +82,15 @@
 	return r.chargeQuota(c, now)
 }
 
+// manifestStale returns a refusal if the manifest in force may be outdated, else nil.
+func (r *routing) manifestStale(now clock.Instant) *contract.Refusal {
+	if r.manifest == nil || r.freshness.Fresh(now) {
+		return nil
+	}
+	return contract.Refuse(contract.ManifestStale, manifestRetryAfter, "the manifest is %s old",
+		r.freshness.Age(now).Round(time.Millisecond))
+}
+
 // chargeQuota takes a call's cost from its organisation's quota, or refuses the call if too little is left.
 func (r *routing) chargeQuota(c *call, now clock.Instant) *contract.Refusal {
 	o := c.admitted.Organisation
--- a/node/entry/api.go
+++ b/node/entry/api.go
@@ -246,25 +246,32 @@
 	refusal *contract.Refusal
 }
 
-// apply answers the query.
-func (q routesQuery) apply(r *routing, _ clock.Instant) {
+// apply answers the query. A route that is there needs no current manifest, since each request to it is admitted by itself.
+func (q routesQuery) apply(r *routing, now clock.Instant) {
 	var reply routesReply
+	reply.routes, reply.refusal = r.findRoutes(q)
+	if stale := r.manifestStale(now); stale != nil && (q.name == "" || reply.refusal != nil) {
+		reply = routesReply{refusal: stale}
+	}
+	q.reply.TryPush(reply)
+}
+
+// findRoutes returns the routes that a query asks for, as the manifest in force has them.
+func (r *routing) findRoutes(q routesQuery) ([]*contract.Route, *contract.Refusal) {
 	switch {
 	case r.manifest == nil:
-		reply.refusal = contract.Refuse(contract.ManifestMissing, manifestRetryAfter, "no manifest has been read yet")
+		return nil, contract.Refuse(contract.ManifestMissing, manifestRetryAfter, "no manifest has been read yet")
 	case q.name != "":
 		if route := r.manifest.RouteNamed(q.name); route != nil {
-			reply.routes = []*contract.Route{route}
-		} else {
-			reply.refusal = contract.Refuse(contract.RouteNotFound, 0, "no route is named %q", q.name)
+			return []*contract.Route{route}, nil
 		}
+		return nil, contract.Refuse(contract.RouteNotFound, 0, "no route is named %q", q.name)
 	case !q.hasKey || r.manifest.Owner(q.key) == nil:
-		reply.refusal = contract.Refuse(contract.InvalidKey, 0, "the request carries no valid key")
-	default:
-		reply.routes = r.manifest.Routes()
-		slices.SortFunc(reply.routes, func(a, b *contract.Route) int { return strings.Compare(a.Name, b.Name) })
+		return nil, contract.Refuse(contract.InvalidKey, 0, "the request carries no valid key")
 	}
-	q.reply.TryPush(reply)
+	routes := r.manifest.Routes()
+	slices.SortFunc(routes, func(a, b *contract.Route) int { return strings.Compare(a.Name, b.Name) })
+	return routes, nil
 }
 
 func readBody(body io.ReadCloser) ([]byte, error) {
