Model late claims, planned stops and a third VM in the test of terms over restores

Cause: the model of terms had two VMs, no planned stops, no reports of ended terms, and claims that the store carries out at once; a claim without answer may be carried out seconds later, in another era, where its revisions have been given out again. Change: the model has all of these; the promises that it checks are the same. The test fails after 19 checks with a shorter wait in a new era, and after 102 if any report of an ended term shortens the pause; both variants are undone.

--- a/node/entry/restoredterms_test.go
+++ b/node/entry/restoredterms_test.go
@@ -19,6 +19,15 @@
 	era, revision, lastLease int64
 	keys                     map[string]leasedKey
 	leases                   map[int64]clock.Instant // their ends
+	late                     []lateClaim             // not part of its state: calls that are still to be executed
+}
+
+// lateClaim is a claim without an answer that the store executes later.
+type lateClaim struct {
+	claim claim
+	value []byte
+	lease int64
+	at    clock.Instant
 }
 
 type leasedKey struct {
@@ -36,15 +45,23 @@
 
 // restore returns to a copy of the given age. Its leases run on from the copy, as if no time had passed.
 func (s *simulatedStore) restore(c simulatedStore, age time.Duration) {
-	era := s.era + 1
+	era, late := s.era+1, s.late
 	*s = c.copyOf()
-	s.era = era
+	s.era, s.late = era, late
 	for id, end := range s.leases {
 		s.leases[id] = end.Add(age)
 	}
 }
 
-func (s *simulatedStore) expire(now clock.Instant) {
+// advance executes late claims and ends leases.
+func (s *simulatedStore) advance(now clock.Instant) {
+	s.late = slices.DeleteFunc(s.late, func(l lateClaim) bool {
+		if now.Before(l.at) {
+			return false
+		}
+		s.claim(l.claim, l.value, l.lease)
+		return true
+	})
 	for id, end := range s.leases {
 		if !now.After(end) {
 			continue
@@ -55,10 +72,15 @@
 	}
 }
 
-// claim carries out a claim, whatever the era in which its revisions were read, and returns its revision; zero: a
-// condition does not hold.
+// claim carries out a claim or a release, whatever the era in which its revisions were read, and returns its revision;
+// zero: a condition does not hold.
 func (s *simulatedStore) claim(c claim, value []byte, lease int64) int64 {
-	if s.keys[keyHolder(c.shard)].revision != c.holderRevision ||
+	if c.release && s.keys[keyHolder(c.shard)].revision == c.holderRevision {
+		s.revision++
+		delete(s.keys, keyHolder(c.shard))
+		return s.revision
+	}
+	if c.release || s.keys[keyHolder(c.shard)].revision != c.holderRevision ||
 		s.keys[keyLastTerm(c.shard)].revision != c.lastRevision || s.leases[lease] == 0 {
 		return 0
 	}
@@ -142,17 +164,30 @@
 		return
 	}
 	value := marshal(holderEntry{Node: v.node, Address: v.address, Boot: v.boot, Era: c.era, PauseMs: c.pause.Milliseconds()})
+	if rapid.IntRange(0, 14).Draw(t, "executed late") == 0 {
+		after := time.Duration(rapid.IntRange(500, 6000).Draw(t, "delay")) * time.Millisecond
+		v.store.late = append(v.store.late, lateClaim{claim: c, value: value, lease: v.lease, at: v.now.Add(after)})
+		return
+	}
 	revision := v.store.claim(c, value, v.lease)
-	if revision != 0 && v.store.era == c.era && rapid.IntRange(0, 9).Draw(t, "answer lost") > 0 {
+	if revision != 0 && !c.release && v.store.era == c.era && rapid.IntRange(0, 9).Draw(t, "answer lost") > 0 {
 		v.apply(claimApplied{shard: c.shard, change: ownKeyChange{
 			key: keyHolder(c.shard), value: value, era: c.era, revision: revision,
 		}})
 	}
 }
 
+// tellEnded passes on which terms have ended, as the reports between VMs do.
+func (v *simulatedVM) tellEnded(to *simulatedVM) {
+	var report link.Report
+	v.addLeaderState(&report, to.node, &peer{}, v.now)
+	report.Views = nil
+	to.applyLeaderState(report, &peer{}, to.now)
+}
+
 // TestOneLeaderOverRestores guards runners against orders of two leaders within the lease time, and against fences that do
-// not rise, while the store returns from older copies and VMs are suspended, cut from the store and restarted. It also
-// checks that a shard has a leader again once that is over.
+// not rise, while the store returns from older copies and carries out claims late, and VMs are suspended, cut from the store
+// or from each other, restarted and stopped. It also checks that a shard has a leader again once that is over.
 func TestOneLeaderOverRestores(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const step, shard = 50 * time.Millisecond, machine.Shard(3)
@@ -160,14 +195,17 @@
 		store := &simulatedStore{
 			era: link.FirstEra, revision: 1, keys: make(map[string]leasedKey), leases: make(map[int64]clock.Instant),
 		}
-		vms := []*simulatedVM{newSimulatedVM("n1", 1, store, now), newSimulatedVM("n2", 2, store, now)}
+		vms := []*simulatedVM{
+			newSimulatedVM("n1", 1, store, now), newSimulatedVM("n2", 2, store, now), newSimulatedVM("n3", 3, store, now),
+		}
+		reportsLost := false
 		copies := []simulatedStore{store.copyOf()} // one for each second
 		var lastVM string
 		var lastFence int64
 		var lastAt clock.Instant
 		play := func(duration time.Duration) {
 			for end := now.Add(duration); now.Before(end); now = now.Add(step) {
-				store.expire(now)
+				store.advance(now)
 				for _, v := range vms {
 					if now.Before(v.stoppedUntil) {
 						continue
@@ -186,6 +224,11 @@
 					}
 					lastVM, lastFence, lastAt = v.node, fence, now
 				}
+				for i, v := range vms {
+					if to := vms[(i+1)%len(vms)]; !reportsLost && !now.Before(v.stoppedUntil) && !now.Before(to.stoppedUntil) {
+						v.tellEnded(to)
+					}
+				}
 				if age := now.Sub(t0); age%time.Second == 0 {
 					copies = append(copies, store.copyOf())
 				}
@@ -194,9 +237,11 @@
 		play(time.Duration(rapid.IntRange(0, 8000).Draw(t, "start")) * time.Millisecond)
 		boot := int64(10)
 		for i := range rapid.IntRange(1, 12).Draw(t, "events") {
-			n := rapid.IntRange(0, 1).Draw(t, "VM")
+			n := rapid.IntRange(0, len(vms)-1).Draw(t, "VM")
 			v := vms[n]
-			switch event := rapid.SampledFrom([]string{"restore", "suspend", "cut", "heal", "restart"}).Draw(t, fmt.Sprint("event", i)); event {
+			switch event := rapid.SampledFrom([]string{
+				"restore", "suspend", "cut", "heal", "restart", "stop", "reports lost", "reports arrive",
+			}).Draw(t, fmt.Sprint("event", i)); event {
 			case "restore":
 				back := min(len(copies), rapid.IntRange(1, 10).Draw(t, "age"))
 				store.restore(copies[len(copies)-back], time.Duration(back)*time.Second)
@@ -204,7 +249,13 @@
 				v.stoppedUntil = now.Add(time.Duration(rapid.IntRange(100, 7000).Draw(t, "for")) * time.Millisecond)
 			case "cut", "heal":
 				v.cut = event == "cut"
-			case "restart":
+			case "reports lost", "reports arrive":
+				reportsLost = event == "reports lost"
+			case "restart", "stop":
+				if event == "stop" && !now.Before(v.stoppedUntil) {
+					v.apply(stopRequested{})
+					play(time.Duration(rapid.IntRange(0, 2000).Draw(t, "stopping")) * time.Millisecond)
+				}
 				boot++
 				vms[n] = newSimulatedVM(v.node, boot, store, now)
 				vms[n].cut = v.cut
@@ -214,6 +265,7 @@
 		for _, v := range vms {
 			v.cut, v.stoppedUntil = false, 0
 		}
+		reportsLost = false
 		play(15 * time.Second)
 		if now.Sub(lastAt) > step {
 			t.Fatalf("no VM gives orders, the last one %v ago", now.Sub(lastAt))
