Keep an attempt at a silent runner if the request can't go on elsewhere

Cause: a timer gave up an attempt whose runner was silent, before it was known whether the request could go on at another runner. With the retry budget spent, or without another replica, the caller's connection was aborted. Change: the timer asks the routing duty, which gives up the attempt only if another runner takes the request now and the retry budget has a retry, which is taken at once. Else the attempt is kept to the deadline, and the question comes again.

--- a/fleet/link/table.go
+++ b/fleet/link/table.go
@@ -223,6 +223,22 @@
 // the prompt's prefixes to those expected to be cached there. It returns false if no usable runner meets the
 // requirements, or those that do are at their rate limits.
 func (t *Table) Pick(f *machine.Fleet, req Requirements, now clock.Instant) (Choice, bool) {
+	choice, hashes := t.find(f, req, now)
+	if choice.Runner == nil {
+		return choice, false
+	}
+	t.Link(choice.Runner).cachePrefixes(hashes)
+	return choice, true
+}
+
+// Offers reports whether Pick would choose a runner now.
+func (t *Table) Offers(f *machine.Fleet, req Requirements, now clock.Instant) bool {
+	choice, _ := t.find(f, req, now)
+	return choice.Runner != nil
+}
+
+// find returns the choice of Pick with the hashes of the prompt's prefixes, or one without a runner.
+func (t *Table) find(f *machine.Fleet, req Requirements, now clock.Instant) (Choice, []uint64) {
 	var best Choice
 	var refused Choice
 	var lowest time.Duration
@@ -250,10 +266,9 @@
 		}
 	}
 	if best.Runner == nil {
-		return refused, false
+		return refused, nil
 	}
-	t.Link(best.Runner).cachePrefixes(hashes)
-	return best, true
+	return best, hashes
 }
 
 // cachePrefixes adds the prefixes of a prompt to those that the runner is expected to have cached.
--- a/node/entry/admission.go
+++ b/node/entry/admission.go
@@ -179,11 +179,7 @@
 		r.refuseWithCode(c, contract.DeadlineExceeded, "the deadline has passed", now)
 		return
 	}
-	requirements := link.Requirements{
-		Artifact: c.artifact, PromptTokens: c.request.PromptTokens, Prompt: c.request.Prompt, From: r.zone,
-		Exclude: c.exclude, Left: c.timeToObjective(now), Waited: c.waiting,
-	}
-	choice, ok := r.table.Pick(r.fleet, requirements, now)
+	choice, ok := r.table.Pick(r.fleet, r.requirements(c, now), now)
 	if ok && !choice.Timely && choice.Wait+choice.Prefill > c.deadline.Sub(now) {
 		r.refuseQueued(c, choice.Wait, now)
 		return
@@ -205,6 +201,14 @@
 	}
 }
 
+// requirements returns what a call needs of its next runner.
+func (r *routing) requirements(c *call, now clock.Instant) link.Requirements {
+	return link.Requirements{
+		Artifact: c.artifact, PromptTokens: c.request.PromptTokens, Prompt: c.request.Prompt, From: r.zone,
+		Exclude: c.exclude, Left: c.timeToObjective(now), Waited: c.waiting,
+	}
+}
+
 // waitedLongEnough reports whether a call may wait no longer.
 func (r *routing) waitedLongEnough(c *call, now clock.Instant) bool {
 	return !now.Before(c.waitUntil) || r.stopping && !now.Before(r.stopWaitUntil)
@@ -280,8 +284,8 @@
 	c.decisions.TryPush(decision{attempt: a})
 }
 
-// silenceTimeout returns how long an attempt may go without an event or answer before it is cancelled and the call is
-// sent to another runner. It is zero, which means no limit, if the call may be neither resumed nor retried there.
+// silenceTimeout returns how long an attempt may go without an event or answer before the call is sent to another runner, if
+// there is one. It is zero, which means no limit, if the call may be neither resumed nor retried there.
 func silenceTimeout(route *contract.Route, a attempt, left time.Duration) time.Duration {
 	switch {
 	case a.resumable && !a.timely:
--- a/node/entry/attempts.go
+++ b/node/entry/attempts.go
@@ -108,7 +108,8 @@
 // retry dispatches a call again after a failed attempt, or refuses it. Each retry is taken from the service's retry
 // budget unless the runner could not be reached.
 func (r *routing) retry(c *call, m attemptEnded, now clock.Instant) {
-	route := c.admitted.Route
+	route, taken := c.admitted.Route, c.retryTaken
+	c.retryTaken = false
 	switch {
 	case m.result == resultTimeout:
 		r.refuse(c, contract.Failed(contract.DeadlineExceeded, "no answer within the deadline"), now)
@@ -127,7 +128,8 @@
 		r.refuse(c, contract.Failed(contract.RunnerFailed, "the runner gave no whole answer"), now)
 		return
 	}
-	if c.sends >= maxSends || m.result != resultUnreachable && !r.retryBudget(c.service).Take(r.members.count(), now) {
+	mayRetry := taken || m.result == resultUnreachable || r.retryBudget(c.service).Take(r.members.count(), now)
+	if c.sends >= maxSends || !mayRetry {
 		r.refuseWithCode(c, contract.RunnerFailed, "the retry budget is spent", now)
 		return
 	}
--- a/node/entry/callers.go
+++ b/node/entry/callers.go
@@ -135,7 +135,7 @@
 	deadline := time.AfterFunc(a.deadline.Sub(begin), func() { cancel(errDeadline) })
 	defer deadline.Stop()
 	defer context.AfterFunc(x.cutoff, func() { cancel(errStopping) })()
-	silence := x.startSilenceTimer(a, cancel)
+	silence := x.startSilenceTimer(a)
 	defer silence.stop()
 
 	answer, err := x.runners.Send(ctx, x.payload, platform.Attempt{
@@ -184,7 +184,7 @@
 
 var (
 	errDeadline = errors.New("the deadline has passed")
-	errSilent   = errors.New("the runner sent nothing within the silence timeout")
+	errSilent   = errors.New("the runner sent nothing within the silence timeout, and another one can go on")
 	errStopping = errors.New("the process is stopping")
 	errBlocked  = errors.New("a part of the prompt crashes runners")
 )
@@ -286,30 +286,3 @@
 	}
 	return errors.Wrap(x.flusher.Flush(), "flush to caller")
 }
-
-// silenceTimer cancels an attempt if the runner sends nothing for the timeout. Its zero value does nothing.
-type silenceTimer struct {
-	timer   *time.Timer
-	timeout time.Duration
-}
-
-func (x *exchange) startSilenceTimer(a attempt, cancel context.CancelCauseFunc) *silenceTimer {
-	if a.silenceTimeout <= 0 {
-		return &silenceTimer{}
-	}
-	return &silenceTimer{
-		timer: time.AfterFunc(a.silenceTimeout, func() { cancel(errSilent) }), timeout: a.silenceTimeout,
-	}
-}
-
-func (s *silenceTimer) reset() {
-	if s.timer != nil {
-		s.timer.Reset(s.timeout)
-	}
-}
-
-func (s *silenceTimer) stop() {
-	if s.timer != nil {
-		s.timer.Stop()
-	}
-}
--- a/node/entry/message.go
+++ b/node/entry/message.go
@@ -36,6 +36,8 @@
 	exclude   []machine.RunnerID
 	cancel    context.CancelCauseFunc // ends the attempt in progress; nil: there is none
 	streaming bool                    // part of the answer has been sent to the caller
+
+	retryTaken bool // the retry after the attempt in progress has been taken from the retry budget
 }
 
 // decision is the routing duty's reply to a new call or a failed attempt: another attempt or a refusal.
@@ -60,7 +62,7 @@
 	deadline        clock.Instant
 	priority        int
 	resumable       bool          // a stream that breaks off may continue on another runner
-	silenceTimeout  time.Duration // time without an event or answer after which it is cancelled; zero: no limit
+	silenceTimeout  time.Duration // time without an event or answer after which another runner may go on; zero: no limit
 }
 
 // result is the outcome of an attempt.
--- a/node/explain/explain.go
+++ b/node/explain/explain.go
@@ -46,6 +46,8 @@
 	Manifest   int64     `json:"manifest,omitempty"`
 	AgeMs      int64     `json:"manifest_age_ms,omitempty"`
 	PauseMs    int64     `json:"pause_ms,omitempty"`
+	SilentMs   int64     `json:"silent_ms,omitempty"`
+	GivenUp    bool      `json:"given_up,omitempty"`
 	MayHaveRun bool      `json:"may_have_run,omitempty"`
 	Final      bool      `json:"final,omitempty"`
 }
@@ -165,6 +167,12 @@
 		return text
 	case "runner paused":
 		return fmt.Sprintf("runner %s wants nothing from this VM for %d ms", l.Runner, l.PauseMs)
+	case "runner silent":
+		text := fmt.Sprintf("runner %s has sent nothing for %d ms; ", l.Runner, l.SilentMs)
+		if l.GivenUp {
+			return text + "another runner goes on"
+		}
+		return text + "no other runner can go on, or the retry budget is spent, so the attempt is kept"
 	case "runner leaves":
 		return fmt.Sprintf("runner %s has said that it leaves", l.Runner)
 	case "load delayed":
--- a/node/explain/explain_test.go
+++ b/node/explain/explain_test.go
@@ -16,14 +16,14 @@
 {"time":"2026-01-01T00:00:01.0Z","msg":"refused","node":"n1","request":"q","code":"no_replica","detail":"no runner holds the model","waited_ms":900}
 {"time":"2026-01-01T00:00:00.3Z","msg":"sent","node":"n1","request":"p","runner":"r","attempt":1}
 {"time":"2026-01-01T00:00:00.35Z","msg":"runner paused","node":"n1","runner":"r","pause_ms":1500}
+{"time":"2026-01-01T00:00:00.355Z","msg":"runner silent","node":"n1","request":"p","runner":"r","silent_ms":50,"given_up":false}
 {"time":"2026-01-01T00:00:00.36Z","msg":"runner leaves","node":"n2","runner":"r"}
 {"time":"2026-01-01T00:00:00.4Z","msg":"ended","node":"n1","request":"p","runner":"r","result":"served","took_ms":100,"final":true}
 `
 
 // TestBuildTimeline guards against a timeline that misses steps of other nodes, orders for the request's model or
 // delays of its load or a pause that its runner asked for, that includes those of other models or VMs, or that names a wrong
-// cause. The log has the lines of two
-// nodes, partly out of order and with other text between them.
+// cause. The log has the lines of two nodes, partly out of order and with other text between them.
 func TestBuildTimeline(t *testing.T) {
 	lines, err := Read(strings.NewReader(logText))
 	if err != nil {
@@ -52,9 +52,12 @@
 	if !strings.HasPrefix(served.Cause, "Served by runner r in attempt 1") {
 		t.Errorf("cause %q", served.Cause)
 	}
-	if len(served.Steps) != 3 || served.Steps[1].Text != "runner r wants nothing from this VM for 1500 ms" {
+	if len(served.Steps) != 4 || served.Steps[1].Text != "runner r wants nothing from this VM for 1500 ms" {
 		t.Errorf("steps %+v, want the pause that the runner asked the request's VM for", served.Steps)
 	}
+	if text := served.Steps[2].Text; !strings.HasPrefix(text, "runner r has sent nothing for 50 ms; no other") {
+		t.Errorf("step %q, want the silence of the runner", text)
+	}
 	if _, err := BuildTimeline(lines, "none"); !errors.Is(err, ErrNotFound) {
 		t.Errorf("error %v", err)
 	}
