Add routes during the soak, and check that they are served in time and for good

Change: an operator adds routes in quick succession, and probes ask each VM for the newest or an earlier one. A route must be served 4 s after its acknowledgement by a VM that was not disturbed and could read the store, and a VM never refuses one that it has served.

--- a/standin/soak/check.go
+++ b/standin/soak/check.go
@@ -57,6 +57,8 @@
 	RevokedAt time.Duration   // when the manifest without oldKey was acknowledged; zero: never
 	PeakMB    []float64       // largest memory of each entry VM's last process
 	Ended     []string        // entry VMs whose process does not run at the end
+	Added     []Added         // routes, in the order of their manifests
+	Probes    []Probe         // in the order of their ends
 }
 
 // Check returns what breaks a promise, one line each.
@@ -78,6 +80,7 @@
 		c.checkFault(f)
 	}
 	c.checkCrashes()
+	c.checkManifests()
 	for _, name := range h.Ended {
 		c.report("the process of %s does not run at the end", name)
 	}
--- a/standin/soak/check_test.go
+++ b/standin/soak/check_test.go
@@ -33,6 +33,8 @@
 				{Holder: "entry-0", Fence: 3, At: start.Add(time.Second)}, {Holder: "entry-1", Fence: 5, At: start.Add(4 * time.Second)},
 			}},
 		},
+		Added:  []Added{{"added-2", time.Second}, {"added-3", 2 * time.Second}},
+		Probes: []Probe{{Route: 1, Entry: 0, Sent: 3 * time.Second, Status: 404}, {Route: 1, Entry: 0, Sent: 7 * time.Second, Status: 200}},
 	}
 }
 
@@ -83,6 +85,13 @@
 				h.Records[0].Runs = append(h.Records[0].Runs, at(h, 9*time.Second))
 			}
 		},
+		"refuses the route added-3 with 404 4.5s after": func(h *History) {
+			h.Probes = []Probe{{Route: 1, Entry: 1, Sent: 6500 * time.Millisecond, Status: 404}}
+		},
+		"the route added-2, which it had served before": func(h *History) {
+			h.Faults = []Fault{{Kind: EntryPaused, Target: "entry", Start: 7 * time.Second, End: 8 * time.Second}}
+			h.Probes = append(h.Probes, Probe{Route: 0, Entry: 0, Sent: 9 * time.Second, Status: 404})
+		},
 		"had said that it leaves": func(h *History) {
 			h.Faults = []Fault{{Kind: RunnerSays, Target: "runner", Start: 900 * time.Millisecond, End: 17 * time.Second}}
 		},
@@ -121,6 +130,8 @@
 		{Kind: RunnerLeaves, Target: "runner", Start: 13 * time.Second, End: 17 * time.Second},
 		{Kind: EntryPaused, Target: "entry", Start: 11 * time.Second, End: 12 * time.Second},
 	}
+	h.Probes = []Probe{{Route: 1, Entry: 0, Sent: 13 * time.Second, Ended: 13 * time.Second, Status: 404}}
+	h.Added[1].At = 8 * time.Second
 	if broken := Check(h); len(broken) > 0 {
 		t.Errorf("reported although an entry VM was paused shortly before: %v", broken)
 	}
--- /dev/null
+++ b/standin/soak/operator.go
@@ -0,0 +1,146 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/mangopass/mangopass/duty"
+	"github.com/mangopass/mangopass/standin/deploy"
+)
+
+const (
+	// maxChangeGap and minChangeGap bound the time between two manifests, several of which may come within a second.
+	maxChangeGap = 3 * time.Second
+	minChangeGap = 100 * time.Millisecond
+	// probePeriod is the time between two requests to a route that was added.
+	probePeriod = 40 * time.Millisecond
+	// operatorStream is the stream of random numbers for the manifests and probes.
+	operatorStream = 1<<32 + 1
+)
+
+// Added is a route that a manifest has added, with the time of the store's acknowledgement since the start of the load.
+type Added struct {
+	Name string
+	At   time.Duration
+}
+
+// Probe is a request to a route that was added, sent to one entry VM.
+type Probe struct {
+	Route       int // index of the route in History.Added
+	Entry       int
+	Sent, Ended time.Duration
+	Status      int // zero: no answer
+}
+
+// operator writes the manifests of a run, and probes which of them are in force. It is safe for concurrent use.
+type operator struct {
+	deployment *deploy.Deployment
+	start      time.Time
+	entries    []string // addresses
+
+	mu      sync.Mutex
+	version int
+	keys    []string
+	routes  []string // of the newest manifest
+	added   []Added  // as far as acknowledged
+	probes  []Probe
+}
+
+// change writes a new manifest, again and again until the store acknowledges it or the context ends.
+func (o *operator) change(ctx context.Context, set func()) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	set()
+	o.version++
+	o.write(ctx)
+}
+
+// writeAgain writes the newest manifest again, after the store has lost it.
+func (o *operator) writeAgain(ctx context.Context) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.write(ctx)
+}
+
+// write writes the newest manifest. Its limit is one that the load does not reach.
+func (o *operator) write(ctx context.Context) {
+	manifest := deploy.ManifestWith(o.routes, o.version, 400_000, 600_000, o.keys...)
+	for o.deployment.PutManifest(ctx, manifest) != nil && ctx.Err() == nil {
+		duty.Pause(ctx, holdPeriod)
+	}
+}
+
+// setKeys replaces the keys of the organisation.
+func (o *operator) setKeys(ctx context.Context, keys ...string) {
+	o.change(ctx, func() { o.keys = keys })
+}
+
+// addRoute adds a route.
+func (o *operator) addRoute(ctx context.Context) {
+	name := ""
+	o.change(ctx, func() {
+		name = fmt.Sprint("added-", o.version+1)
+		o.routes = append(o.routes, name)
+	})
+	if ctx.Err() == nil {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		o.added = append(o.added, Added{Name: name, At: time.Since(o.start)})
+	}
+}
+
+// addRoutes adds routes until the context ends.
+func (o *operator) addRoutes(ctx context.Context, r *rand.Rand) {
+	for duty.Pause(ctx, minChangeGap+time.Duration(r.Int64N(int64(maxChangeGap-minChangeGap)))) {
+		o.addRoute(ctx)
+	}
+}
+
+// probe asks the entry VMs in turn for the newest route, or now and then for an earlier one, until the context ends.
+func (o *operator) probe(ctx context.Context, r *rand.Rand) {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: time.Second}
+	for n := 0; duty.Pause(ctx, probePeriod); n++ {
+		o.mu.Lock()
+		count := len(o.added)
+		o.mu.Unlock()
+		if count == 0 {
+			continue
+		}
+		p := Probe{Route: count - 1, Entry: n % len(o.entries)}
+		if r.IntN(4) == 0 {
+			p.Route = r.IntN(count)
+		}
+		o.send(ctx, client, &p, fmt.Sprint("probe-", n))
+		o.mu.Lock()
+		o.probes = append(o.probes, p)
+		o.mu.Unlock()
+	}
+}
+
+// send sends a probe and records what comes back.
+func (o *operator) send(ctx context.Context, client *http.Client, p *Probe, id string) {
+	o.mu.Lock()
+	name := o.added[p.Route].Name
+	o.mu.Unlock()
+	p.Sent = time.Since(o.start)
+	defer func() { p.Ended = time.Since(o.start) }()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+o.entries[p.Entry]+"/"+name+"/x", nil)
+	if err != nil {
+		return
+	}
+	req.Host = "coop.example"
+	req.Header.Set("X-Mangopass-Request-Id", id)
+	req.Header.Set("X-Mangopass-Deadline", "1000")
+	resp, err := client.Do(req)
+	if err != nil {
+		return
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, _ = io.Copy(io.Discard, resp.Body)
+	p.Status = resp.StatusCode
+}
--- a/standin/soak/run.go
+++ b/standin/soak/run.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -72,11 +71,14 @@
 		name := fmt.Sprintf("s%d-c%d", s.Seed, i)
 		load.Go(name, func(ctx context.Context) { x.callers.run(ctx, name, r) })
 	}
-	revokedAt, err := x.playFaults(faults)
-	if err != nil {
-		load.Stop()
-		return Result{}, err
-	}
+	x.operator.start, x.operator.entries = x.callers.start, x.callers.entries
+	load.Go("operator", func(ctx context.Context) {
+		x.operator.addRoutes(ctx, rand.New(rand.NewPCG(s.Seed, operatorStream)))
+	})
+	load.Go("probes", func(ctx context.Context) {
+		x.operator.probe(ctx, rand.New(rand.NewPCG(s.Seed, operatorStream+1)))
+	})
+	revokedAt := x.playFaults(faults)
 	recovered := x.awaitRecovery()
 	load.Stop()
 	if err := ctx.Err(); err != nil {
@@ -93,20 +95,8 @@
 	group      *duty.Group // the proxies
 	proxies    []*Proxy    // of the runners' links, then of the entry VMs' links to the store
 	callers    *callers
-	keys       atomic.Pointer[putKeys] // of the newest manifest
-	managers   []*manager              // of the entry VMs
-}
-
-// putKeys is a version of the manifest, with its keys.
-type putKeys struct {
-	version int
-	keys    []string
-}
-
-// putManifest writes a manifest and remembers it, so that it can be written again.
-func (x *execution) putManifest(ctx context.Context, k putKeys) error {
-	x.keys.Store(&k)
-	return x.deployment.PutManifest(ctx, x.manifest(k.version, k.keys...))
+	operator   *operator
+	managers   []*manager // of the entry VMs
 }
 
 func (x *execution) startDeployment() error {
@@ -130,9 +120,8 @@
 		}
 		return err
 	}
-	if err := x.putManifest(context.Background(), putKeys{version: 1, keys: []string{deploy.CallerKey, oldKey}}); err != nil {
-		return err
-	}
+	x.operator = &operator{deployment: x.deployment}
+	x.operator.setKeys(x.ctx, deploy.CallerKey, oldKey)
 	for _, r := range x.deployment.Runners {
 		x.setRunnerFaults(r, runner.Faults{})
 	}
@@ -150,11 +139,6 @@
 	x.setFaults(r.Address, faults)
 }
 
-// manifest returns a manifest with a limit that the load does not reach.
-func (x *execution) manifest(version int, keys ...string) any {
-	return deploy.Manifest(version, 400_000, 600_000, keys...)
-}
-
 // addProxy starts the proxy of a link: that to a runner, or that of an entry VM to the store.
 func (x *execution) addProxy(_, address string) (string, error) {
 	p, err := NewProxy(x.group, address)
@@ -167,7 +151,7 @@
 
 // playFaults starts each fault at its time and ends it. In the middle of the run, it withdraws a key; it returns when the
 // store acknowledged that.
-func (x *execution) playFaults(faults []Fault) (revokedAt time.Duration, err error) {
+func (x *execution) playFaults(faults []Fault) (revokedAt time.Duration) {
 	ctx := x.ctx
 	playing := duty.NewGroup(ctx)
 	for _, f := range faults {
@@ -178,10 +162,7 @@
 		})
 	}
 	duty.Pause(ctx, x.Duration/2-time.Since(x.callers.start))
-	if err := x.putManifest(ctx, putKeys{version: 2, keys: []string{deploy.CallerKey}}); err != nil {
-		playing.Stop()
-		return 0, err
-	}
+	x.operator.setKeys(ctx, deploy.CallerKey)
 	revokedAt = time.Since(x.callers.start)
 	for _, f := range faults {
 		duty.Pause(ctx, f.End-time.Since(x.callers.start))
@@ -189,7 +170,7 @@
 	for len(playing.Names()) > 0 {
 		duty.Pause(context.Background(), holdPeriod)
 	}
-	return revokedAt, nil
+	return revokedAt
 }
 
 // play starts a fault, and ends it when its time is over.
@@ -235,9 +216,7 @@
 	x.setFaults(x.deployment.Store, store.Faults{Silent: true})
 	duty.Pause(x.ctx, f.End-time.Since(x.callers.start))
 	x.setFaults(x.deployment.Store, store.Faults{Restore: true})
-	for x.putManifest(x.ctx, *x.keys.Load()) != nil && x.ctx.Err() == nil {
-		duty.Pause(x.ctx, holdPeriod)
-	}
+	x.operator.writeAgain(x.ctx)
 }
 
 // setFaults sets the faults of a stand-in. Only a stand-in that has ended does not answer, and that is seen elsewhere.
@@ -283,7 +262,10 @@
 
 // result collects the records of the runners and checks the history.
 func (x *execution) result(faults []Fault, revokedAt time.Duration, recovered bool) (Result, error) {
-	h := History{Start: x.callers.start, Faults: faults, Requests: x.callers.all(), RevokedAt: revokedAt}
+	h := History{
+		Start: x.callers.start, Faults: faults, Requests: x.callers.all(), RevokedAt: revokedAt,
+		Added: x.operator.added, Probes: x.operator.probes,
+	}
 	for _, r := range x.deployment.Runners {
 		record, err := x.deployment.Record(context.Background(), r.Address)
 		if err != nil {
