Tell the planner of requests whose runners want nothing from their VM

Change: the demand that VMs report states how many of the waiting requests are held back for longer than a load takes; a model with such requests is starved, as one whose replicas are all at limited runners. Measured: TestStarvedModelIsLoadedElsewhere has two more cases, of which the held requests get no load without the change; TestHeldRequestsAreReported and TestDemandBook pass.

--- a/fleet/machine/demand.go
+++ b/fleet/machine/demand.go
@@ -32,6 +32,7 @@
 	Waiting  int           // requests that wait for a replica now
 	Timely   int           // of those, requests that can still meet their latency objective
 	Due      time.Duration // time left until the first of these must be sent
+	Held     int           // of the waiting requests, those whose runners want no request for longer than a load takes
 	Arrivals int           // requests since the last report
 	Urgent   int           // of the arrivals, requests that cannot wait for a load
 	Work     time.Duration // prefill time of the arrivals
@@ -53,6 +54,7 @@
 	requests int
 	timely   int
 	due      clock.Instant // latest instant to send the first timely request
+	held     int           // see DemandReport
 }
 
 // decay brings the averages forward to now.
@@ -72,7 +74,12 @@
 	d.urgent += float64(report.Urgent)
 	d.work += report.Work.Seconds()
 	d.recentWork += report.Work.Seconds()
-	d.setWaiting(node, queue{requests: report.Waiting, timely: report.Timely, due: now.Add(report.Due)}, now)
+	d.setWaiting(node, report.queue(now), now)
+}
+
+// queue returns the waiting requests of a report.
+func (d DemandReport) queue(now clock.Instant) queue {
+	return queue{requests: d.Waiting, timely: d.Timely, due: now.Add(d.Due), held: d.Held}
 }
 
 func (d *demand) setWaiting(node string, q queue, now clock.Instant) {
--- a/fleet/machine/demandbook.go
+++ b/fleet/machine/demandbook.go
@@ -13,6 +13,8 @@
 type WaitingRequest struct {
 	Artifact Artifact
 	Due      clock.Instant // latest instant to send it, so that it meets its latency objective
+	// HeldUntil is when the first runner with the artifact takes requests again; zero: no runner has it.
+	HeldUntil clock.Instant
 }
 
 // NewDemandBook returns an empty book.
@@ -42,7 +44,7 @@
 			b.add(d)
 		}
 		if d.Waiting > 0 {
-			queues[d.Artifact] = queue{requests: d.Waiting, timely: d.Timely, due: now.Add(d.Due)}
+			queues[d.Artifact] = d.queue(now)
 		}
 	}
 	b.below[node] = queues
@@ -68,7 +70,7 @@
 	out := make([]DemandReport, 0, len(b.arrivals))
 	for a, d := range b.arrivals {
 		q := waiting[a]
-		d.Waiting, d.Timely = q.requests, q.timely
+		d.Waiting, d.Timely, d.Held = q.requests, q.timely, q.held
 		if q.timely > 0 {
 			d.Due = max(0, q.due.Sub(now))
 		}
@@ -80,15 +82,20 @@
 
 // queue returns the queue of one request.
 func (w WaitingRequest) queue(now clock.Instant) queue {
+	q := queue{requests: 1}
 	if w.Due.After(now) {
-		return queue{requests: 1, timely: 1, due: w.Due}
+		q.timely, q.due = 1, w.Due
 	}
-	return queue{requests: 1}
+	if w.HeldUntil.Sub(now) > minLoadTime {
+		q.held = 1
+	}
+	return q
 }
 
 // plus returns the queue of the requests of both.
 func (q queue) plus(other queue) queue {
 	q.requests += other.requests
+	q.held += other.held
 	if other.timely > 0 && (q.timely == 0 || other.due < q.due) {
 		q.due = other.due
 	}
--- a/fleet/machine/demandbook_test.go
+++ b/fleet/machine/demandbook_test.go
@@ -11,13 +11,16 @@
 	b, a := NewDemandBook(), artifact(1, 0)
 	b.Arrived(DemandReport{Artifact: a, Arrivals: 1, Urgent: 1, Work: time.Millisecond})
 	b.Merge("n2", []DemandReport{
-		{Artifact: a, Arrivals: 2, Waiting: 3, Timely: 1, Due: time.Second, Work: time.Millisecond},
+		{Artifact: a, Arrivals: 2, Waiting: 3, Timely: 1, Due: time.Second, Held: 2, Work: time.Millisecond},
 	}, start)
-	own := []WaitingRequest{{a, start.Add(400 * time.Millisecond)}, {a, start.Add(-time.Second)}}
+	own := []WaitingRequest{
+		{Artifact: a, Due: start.Add(400 * time.Millisecond)},
+		{Artifact: a, Due: start.Add(-time.Second), HeldUntil: start.Add(time.Second)},
+	}
 	now := start.Add(100 * time.Millisecond)
 	first := b.Take(own, now)
 	want := DemandReport{
-		Artifact: a, Waiting: 5, Timely: 2, Due: 300 * time.Millisecond, Arrivals: 3, Urgent: 1,
+		Artifact: a, Waiting: 5, Timely: 2, Due: 300 * time.Millisecond, Arrivals: 3, Urgent: 1, Held: 3,
 		Work: 2 * time.Millisecond,
 	}
 	if len(first) != 1 || first[0] != want {
--- a/fleet/machine/modeldemand.go
+++ b/fleet/machine/modeldemand.go
@@ -31,6 +31,7 @@
 type modelDemand struct {
 	waiting      int
 	timely       int           // of those, requests that can still meet their latency objective
+	held         int           // of the waiting requests, those whose runners want no request for longer than a load takes
 	due          clock.Instant // latest instant to send the first of these
 	waitingSince clock.Instant // start of the current wait; zero: no request waits
 	rate         float64       // requests per second
@@ -59,6 +60,7 @@
 		q := d.total()
 		sum.waiting += q.requests
 		sum.timely += q.timely
+		sum.held += q.held
 		if q.timely > 0 && (sum.due == 0 || q.due < sum.due) {
 			sum.due = q.due
 		}
@@ -90,8 +92,8 @@
 }
 
 // starved reports whether requests wait for the model and no replica can take them: there is none, or only at runners that
-// state a rate limit.
-func (d *modelDemand) starved() bool { return d.waiting > 0 && d.replicas == d.limited }
+// state a rate limit or have asked the VM of such a request for a pause.
+func (d *modelDemand) starved() bool { return d.waiting > 0 && d.replicas == d.limited || d.held > 0 }
 
 func (s *Scheduler) modelDemand(base Artifact) *modelDemand {
 	d := s.modelDemands[base]
--- a/fleet/machine/placement_test.go
+++ b/fleet/machine/placement_test.go
@@ -325,15 +325,22 @@
 }
 
 // TestStarvedModelIsLoadedElsewhere guards requests for a model whose only replica is at a runner that is at its rate
-// limit: another runner must load the model too, but not while no request waits.
+// limit, or has asked the VM of the requests for a pause: another runner must load the model too, but not while no request
+// waits.
 func TestStarvedModelIsLoadedElsewhere(t *testing.T) {
-	for waiting, want := range map[int]int{0: 0, 5: 1} {
+	for _, c := range []struct {
+		waiting, held int
+		limit         float64
+		want          int
+	}{{limit: 1}, {waiting: 5, limit: 1, want: 1}, {waiting: 5}, {waiting: 5, held: 5, want: 1}} {
 		sim := newSimulation(2, 8)
-		sim.fleet.Get("r0").RateLimit = 1
+		sim.fleet.Get("r0").RateLimit = c.limit
 		loads := 0
 		for range 100 {
 			sim.advance(20 * time.Millisecond)
-			sim.scheduler.Observe("n", []DemandReport{{Artifact: artifact(0, 0), Waiting: waiting, Arrivals: 1}}, sim.now)
+			sim.scheduler.Observe("n", []DemandReport{{
+				Artifact: artifact(0, 0), Waiting: c.waiting, Held: c.held, Arrivals: 1,
+			}}, sim.now)
 			plan := sim.scheduler.Plan(true, sim.now)
 			for _, o := range plan.Orders {
 				if o.Kind == Load && o.Model == modelName(0) && o.Runner == "r1" {
@@ -342,8 +349,8 @@
 			}
 			sim.execute(plan, func() int { return 9 })
 		}
-		if loads != want {
-			t.Errorf("%d requests wait: %d loads of the model at the other runner, want %d", waiting, loads, want)
+		if loads != c.want {
+			t.Errorf("%+v: %d loads of the model at the other runner", c, loads)
 		}
 	}
 }
--- a/node/entry/admission.go
+++ b/node/entry/admission.go
@@ -197,7 +197,7 @@
 	case r.waitedLongEnough(c, now):
 		r.refuseWithCode(c, contract.NoReplica, "no runner holds the model", now)
 	default:
-		r.wait(c, choice.Limited, now)
+		r.wait(c, choice, now)
 	}
 }
 
@@ -300,7 +300,10 @@
 
 // wait queues a call until a replica is ready or a runner at its rate limit takes one more request, or until it may wait
 // no longer. The planner gets a report at once, since it decides which runner loads the model.
-func (r *routing) wait(c *call, limited bool, now clock.Instant) {
+func (r *routing) wait(c *call, choice link.Choice, now clock.Instant) {
+	if c.heldUntil = 0; choice.Limited {
+		c.heldUntil = now.Add(choice.Retry)
+	}
 	if c.waiting {
 		return
 	}
@@ -310,7 +313,7 @@
 		p.urgent = true
 	}
 	r.log.Info("waiting", "request", c.request.ID, "model", c.artifact.Model, "adapter", c.artifact.Adapter,
-		"patience_ms", c.waitUntil.Sub(now).Milliseconds(), "limited", limited, "planner", r.members.planner)
+		"patience_ms", c.waitUntil.Sub(now).Milliseconds(), "limited", choice.Limited, "planner", r.members.planner)
 }
 
 func (r *routing) stopWaiting(c *call) { c.waiting = false }
--- a/node/entry/message.go
+++ b/node/entry/message.go
@@ -31,8 +31,9 @@
 	deadline  clock.Instant
 	waitUntil clock.Instant // end of the wait for a replica
 	waiting   bool
-	sends     int // attempts sent to runners
-	runs      int // of those, attempts that the runner may have executed
+	heldUntil clock.Instant // while it waits: when the first runner with the model takes requests again; zero: none has it
+	sends     int           // attempts sent to runners
+	runs      int           // of those, attempts that the runner may have executed
 	exclude   []machine.RunnerID
 	cancel    context.CancelCauseFunc // ends the attempt in progress; nil: there is none
 	streaming bool                    // part of the answer has been sent to the caller
--- a/node/entry/stated_test.go
+++ b/node/entry/stated_test.go
@@ -183,3 +183,22 @@
 		t.Errorf("20 callers return at %d instants, want them spread", len(returns))
 	}
 }
+
+// TestHeldRequestsAreReported guards requests for a model whose only runner has asked this VM for a pause: the planner must
+// know, since it may have been asked for none. A pause that ends before a load could is not worth one.
+func TestHeldRequestsAreReported(t *testing.T) {
+	for pause, want := range map[time.Duration]int{0: 0, 500 * time.Millisecond: 0, 2 * time.Second: 1} {
+		h := newHarness()
+		h.setUp()
+		h.announceEngine("e1", machine.ReportedModel{Model: "m"})
+		h.states("e1", 0, platform.Stated{Pause: pause})
+		h.admitChat()
+		held := 0
+		for _, d := range h.demand.Take(h.waitingRequests(), h.now) {
+			held += d.Held
+		}
+		if held != want {
+			t.Errorf("pause of %v: %d requests reported as held back, want %d", pause, held, want)
+		}
+	}
+}
