--- a/fleet/link/ratelimit.go
+++ b/fleet/link/ratelimit.go
@@ -138,8 +138,8 @@
 }
 
 // Admits reports whether a runner takes one more request now, as its limit and the pause that it has asked for allow, and
-// otherwise after which time it may. waited says that the
-// request has waited for that: such requests of all VMs come back at random times.
+// otherwise after which time it may. waited says that the request has waited for that: such requests of all VMs come back at
+// random times.
 func (l *RateLimits) Admits(r *machine.Runner, waited bool, now clock.Instant) (bool, time.Duration) {
 	if wait := r.Paused(now); wait > 0 {
 		return false, wait
--- a/node/entry/limits.go
+++ b/node/entry/limits.go
@@ -88,9 +88,9 @@
 	}
 }
 
-// refuseLimited refuses a call because all runners that could take it are at their rate limits or paused. The caller may return when
-// one of them takes the next request, at a random instant after that, so that the callers refused now don't return
-// together.
+// refuseLimited refuses a call because all runners that could take it are at their rate limits or paused. The caller may
+// return when one of them takes the next request, at a random instant after that, so that the callers refused now don't
+// return together.
 func (r *routing) refuseLimited(c *call, retry time.Duration, now clock.Instant) {
 	const detail = "the runners of the model or service are at their rate limits or have asked for a pause"
 	if c.runs > 0 {
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -92,8 +92,8 @@
 }
 
 // Changes returns the changes under a prefix that are newer than the revision after; ok is false if that part of the
-// history has been compacted, or if the store does not have the revision. If there are no changes, it subscribes notify, which then gets an item at each change of
-// any key until Unsubscribe is called.
+// history has been compacted, or if the store does not have the revision. If there are no changes, it subscribes notify,
+// which then gets an item at each change of any key until Unsubscribe is called.
 func (s *Store) Changes(prefix string, after int64, notify *ring.Ring[struct{}]) (
 	events []Item, revision int64, ok bool,
 ) {
