Name the reservation of a retry for what it does

Cause: a method with the name of a question took a retry from the budget, and its caller noted that it was taken. Change: reserveRetry does both; no change of behaviour. Measured: the tests of silent attempts pass.

--- a/node/entry/silence.go
+++ b/node/entry/silence.go
@@ -19,25 +19,25 @@
 	if m.attempt.ctx.Err() != nil {
 		return // it has ended meanwhile
 	}
-	goesOn := r.canGoOn(c, m.attempt, now)
+	goesOn := r.reserveRetry(c, m.attempt, now)
 	r.log.Info("runner silent", "request", c.request.ID, "runner", m.attempt.runner,
 		"silent_ms", m.attempt.silenceTimeout.Milliseconds(), "given_up", goesOn)
 	if goesOn {
-		c.retryTaken = true
 		m.attempt.cancel(errSilent)
 	}
 }
 
-// canGoOn reports whether a call may be sent to another runner than that of its attempt, and takes the retry from the
-// service's budget if so.
-func (r *routing) canGoOn(c *call, a attempt, now clock.Instant) bool {
+// reserveRetry takes a retry of a call from its service's budget before the attempt in progress ends, if another runner takes
+// the call now and it may be sent again. It reports whether it has done so.
+func (r *routing) reserveRetry(c *call, a attempt, now clock.Instant) bool {
 	route := c.admitted.Route
 	if c.retryTaken || !route.Repeatable() || c.runs+1 >= route.MaxAttempts || c.sends >= maxSends {
 		return false
 	}
 	requirements := r.requirements(c, now)
 	requirements.Exclude = append(requirements.Exclude[:len(c.exclude):len(c.exclude)], a.runner)
-	return r.table.Offers(r.fleet, requirements, now) && r.retryBudget(c.service).Take(r.members.count(), now)
+	c.retryTaken = r.table.Offers(r.fleet, requirements, now) && r.retryBudget(c.service).Take(r.members.count(), now)
+	return c.retryTaken
 }
 
 // silenceTimer tells the routing duty each time that the runner has sent nothing for the timeout. Its zero value does
