Wait for a manifest that another VM has in force when a store returns without it

Callers with a withdrawn key were served 7.46 s after the removal by a VM that had missed it while suspended, although the other VM had it in force: the store had returned from an older copy, and the operators took more than two seconds to write their manifest again. Cause: two seconds after the new era's first answer, what the store showed counted as the newest manifest. Change: reports state the newest version that the sender knows of. For ten seconds after the store's return, an older manifest than that is not proved by the store. Then it is: a version without acknowledgement may never be written again.

--- a/cmd/processtest/restore_test.go
+++ b/cmd/processtest/restore_test.go
@@ -110,6 +110,41 @@
 	}
 }
 
+// TestManifestOfOtherVMIsWaitedFor guards withdrawn keys against a VM that missed their removal before the store returned from
+// an older copy, if the operators take some seconds to write their manifest again, while another VM still has it in force.
+func TestManifestOfOtherVMIsWaitedFor(t *testing.T) {
+	const rewrittenAfter = 5 * time.Second
+	for i := range 2 { // the relay, and the VM below it
+		t.Run(fmt.Sprint("entry-", i), func(t *testing.T) {
+			d := start(t)
+			e := d.Entries[i]
+			saveStore(t, d)
+			e.Signal(syscall.SIGSTOP)
+			putManifest(t, d, manifest(5, "new-key"))
+			acknowledged := time.Now()
+			time.Sleep(revokeBound)
+			restoreStore(t, d)
+			e.Signal(syscall.SIGCONT)
+			for n := 0; time.Since(acknowledged) < revokeBound+rewrittenAfter; n++ {
+				got := call(t, t.Context(), e.Callers, request{
+					method: "GET", path: "/stock/1", id: fmt.Sprint("copy-", n), deadlineMs: 500,
+				})
+				if got.status == http.StatusOK {
+					t.Fatalf("request %d is served with a withdrawn key %v after the removal", n, time.Since(acknowledged))
+				}
+				time.Sleep(50 * time.Millisecond)
+			}
+			putManifest(t, d, manifest(5, "new-key"))
+			time.Sleep(2 * time.Second)
+			if got := call(t, t.Context(), e.Callers, request{
+				method: "GET", path: "/stock/1", id: "written-again", key: "new-key", deadlineMs: 1500,
+			}); got.status != http.StatusOK {
+				t.Errorf("status %d with the new key, want 200", got.status)
+			}
+		})
+	}
+}
+
 // TestTermsAfterRestore guards runners against orders of two leaders within the lease time, against a fence that goes back,
 // and against a shard without a leader, when the store returns from a copy in which a shard still has its former leader.
 // That one starts again, and the other VM, which has led since, ends shortly after.
--- a/fleet/link/report.go
+++ b/fleet/link/report.go
@@ -49,6 +49,8 @@
 	Sound      []uint64               // prompt parts with crashes that a complete run has proved sound since
 	Blocked    []BlockedPart          // all prompt parts that the sender blocks, when they have changed
 
+	Manifest int64 // newest version of the manifest that the sender knows of
+
 	StoreEra      int64      // era of the platform's store that the sender knows
 	StoreRevision int64      // revision in that era up to which the sender knows the changes
 	Feed          *StoreFeed // what changed in the store since; only to a VM below the sender
--- a/node/entry/members.go
+++ b/node/entry/members.go
@@ -96,6 +96,8 @@
 	listBelow []string // names of this VM and those below it
 	listAll   []string // the same with those that the other relays hear
 	version   uint64   // of the two lists
+
+	newestManifest int64 // newest version of the manifest that a peer knows of, as far as stated
 }
 
 // count returns the number of entry VMs, this one included.
--- a/node/entry/reports.go
+++ b/node/entry/reports.go
@@ -117,6 +117,7 @@
 	report.Whole, report.Incomplete = p.needsAll, !p.complete
 	known := r.changes.Position()
 	report.Series, report.StoreEra, report.StoreRevision = p.series, known.Era, known.Revision
+	report.Manifest = max(r.manifestVersion(), r.members.newestManifest)
 	switch p.role {
 	case link.Parent:
 		r.members.noteSent(report.Sequence, now)
@@ -227,6 +228,7 @@
 	}
 	p.sequence, p.heardAt, p.stopping = in.Sequence, now, in.Stopping
 	p.seesUsAs, p.planner = in.Receiver, in.Planner
+	r.members.newestManifest = max(r.members.newestManifest, in.Manifest)
 	p.storePosition = link.Position{Era: in.StoreEra, Revision: in.StoreRevision}
 	if in.Relay != in.Node && p.Zone != r.zone {
 		p.avoidUntil = now.Add(avoidTime) // no longer the relay of its zone
--- a/node/entry/storechanges.go
+++ b/node/entry/storechanges.go
@@ -50,7 +50,7 @@
 	r.changes.Advance(m.position.Revision)
 	r.applyOwnKeys(m.ownKeys, m.complete, now)
 	r.era.unread = r.era.unread && !m.complete
-	if r.manifest != nil {
+	if r.manifest != nil && !r.lacksManifest(now) {
 		r.freshness.Confirm(m.sent)
 	}
 }
--- a/node/entry/storeera.go
+++ b/node/entry/storeera.go
@@ -14,6 +14,9 @@
 	// keySettledEra is the key that names the last era of the store of which a VM knows that it has settled. A listing
 	// returns it before the manifest, so that the manifest is at least as new.
 	keySettledEra = prefixOwn + "era"
+	// lateRewrite is the time after the store's return from an older copy in which the operators may still have to write a
+	// manifest again that another VM has in force. One of which they never got an acknowledgement may not be written again.
+	lateRewrite = 10 * time.Second
 	// eraWritePeriod is the time between two writes of keySettledEra, of which the first failed.
 	eraWritePeriod = 3 * time.Second
 )
@@ -25,9 +28,10 @@
 
 // storeEra is what this VM knows of the eras of the platform's store.
 type storeEra struct {
-	newest     int64 // of all answers; noEra: none yet
-	settled    int64 // as last read from the store
-	revision   int64 // of keySettledEra; zero: there is none
+	newest     int64         // of all answers; noEra: none yet
+	beganAt    clock.Instant // first answer of the newest era; zero: it is the store's first one
+	settled    int64         // as last read from the store
+	revision   int64         // of keySettledEra; zero: there is none
 	recordedAt clock.Instant
 	unread     bool // no listing has come since the store was restored
 }
@@ -43,6 +47,7 @@
 	r.leader.forgetKeys(era, now)
 	if era > link.FirstEra {
 		r.freshness.BeginEra(now)
+		r.era.beganAt = now
 	}
 	if before == noEra {
 		return true
@@ -53,6 +58,12 @@
 	return true
 }
 
+// lacksManifest reports whether another VM knows a newer manifest than the one in force here, which the operators may still
+// have to write again after the store's return from an older copy.
+func (r *routing) lacksManifest(now clock.Instant) bool {
+	return r.era.beganAt != 0 && now.Sub(r.era.beganAt) < lateRewrite && r.manifestVersion() < r.members.newestManifest
+}
+
 // applySettledEra applies the key that names the last settled era.
 func (r *routing) applySettledEra(c ownKeyChange) {
 	if c.gone {
