Log when a VM waits for a manifest that its peers know of

Cause: a VM that refuses with manifest_stale while it waits did not say that it waits, nor for which version. Change: a line at the begin and the end of the wait. Measured: the tests of restored manifests pass.

--- a/node/entry/storeera.go
+++ b/node/entry/storeera.go
@@ -34,6 +34,7 @@
 	revision   int64         // of keySettledEra; zero: there is none
 	recordedAt clock.Instant
 	unread     bool // no listing has come since the store was restored
+	awaiting   bool // a manifest that a peer knows of is awaited
 }
 
 // enterEra takes note of the store's era that an answer shows. It returns false if the answer is of an earlier era than
@@ -61,7 +62,13 @@
 // lacksManifest reports whether another VM knows a newer manifest than the one in force here, which the operators may still
 // have to write again after the store's return from an older copy.
 func (r *routing) lacksManifest(now clock.Instant) bool {
-	return r.era.beganAt != 0 && now.Sub(r.era.beganAt) < lateRewrite && r.manifestVersion() < r.members.newestManifest
+	lacks := r.era.beganAt != 0 && now.Sub(r.era.beganAt) < lateRewrite && r.manifestVersion() < r.members.newestManifest
+	if lacks != r.era.awaiting {
+		r.era.awaiting = lacks
+		r.log.Info("newer manifest awaited", "awaited", lacks, "in_force", r.manifestVersion(),
+			"known_to_peers", r.members.newestManifest, "era_ms", now.Sub(r.era.beganAt).Milliseconds())
+	}
+	return lacks
 }
 
 // applySettledEra applies the key that names the last settled era.
