Don't take a copy of an earlier era for the manifest written again

Callers with a withdrawn key could be served by a VM that had missed the removal, if the store returned from older copies twice. Cause: a listing in a new era proved the manifest in force if it showed it at another revision than the last one known. Over two restores, the second copy may show it at the revision of an era that the VM has not read, or of the era before that. Change: another revision is a proof only if the VM knows the one of the era right before, and that era was the store's first one or has lasted for over a minute since it settled. Otherwise the two seconds and the settled key prove it, as for other manifests.

--- a/node/entry/restoredmanifest_test.go
+++ b/node/entry/restoredmanifest_test.go
@@ -40,3 +40,37 @@
 		}
 	}
 }
+
+// TestCopyOfEarlierEraIsNoProof guards withdrawn keys over two restores in a row. The second copy may show the manifest at a
+// revision that this VM does not know, although the operators have not written theirs again since.
+func TestCopyOfEarlierEraIsNoProof(t *testing.T) {
+	again := func(h *harness, revision int64) storeChanged {
+		return h.listed(link.Position{Era: link.FirstEra + 2, Revision: revision + 5}, 4, revision)
+	}
+	for name, c := range map[string]struct {
+		between func(h *harness) // what the VM sees of the era between
+		fresh   bool
+	}{
+		"the VM has missed the era between": {between: func(*harness) {}},
+		"the second copy is older than the first": {between: func(h *harness) {
+			h.apply(h.listed(restored(49), 4, 48))
+		}},
+		"the era between has not settled": {between: func(h *harness) {
+			h.apply(h.listed(restored(55), 4, 50))
+			h.now = h.now.Add(2 * maxCopyAge)
+		}},
+		"the era between was long": {between: func(h *harness) {
+			h.apply(h.listed(restored(49), 4, 48))
+			h.now = h.now.Add(2 * maxCopyAge)
+			h.apply(storeChanged{position: restored(60), sent: h.now})
+		}, fresh: true},
+	} {
+		h := newRestoredHarness(t)
+		c.between(h)
+		h.now = h.now.Add(6 * time.Second)
+		h.apply(again(h, 30))
+		if fresh := h.freshness.Fresh(h.now); fresh != c.fresh {
+			t.Errorf("%s: the manifest counts as the newest: %v, want %v", name, fresh, c.fresh)
+		}
+	}
+}
--- a/node/entry/storechanges.go
+++ b/node/entry/storechanges.go
@@ -57,10 +57,11 @@
 
 // noteWritten records the last write of the manifest in force, which a change shows or not. One in the store's present era
 // proves that the operators have written again what an older copy lacked. A listing shows such a write only if this VM
-// knows the revision that the same manifest had before.
+// knows the revision that the same manifest had in the era before, and the copy can't be of an earlier one.
 func (r *routing) noteWritten(m storeChanged, shown manifestChange) {
 	at := link.Position{Era: m.position.Era, Revision: m.manifest.Revision}
-	moved := shown == manifestSame && r.manifestAt.Era < at.Era && r.manifestAt.Revision != at.Revision
+	moved := shown == manifestSame && r.era.comparable && r.manifestAt.Era == at.Era-1 &&
+		r.manifestAt.Revision != at.Revision
 	if shown == manifestOther {
 		return
 	}
--- a/node/entry/storeera.go
+++ b/node/entry/storeera.go
@@ -17,6 +17,8 @@
 	// lateRewrite is the time after the store's return from an older copy in which the operators may still have to write a
 	// manifest again that another VM has in force. One of which they never got an acknowledgement may not be written again.
 	lateRewrite = 10 * time.Second
+	// maxCopyAge bounds the time by which a copy of the store is older than the state that it replaces.
+	maxCopyAge = time.Minute
 	// eraWritePeriod is the time between two writes of keySettledEra, of which the first failed.
 	eraWritePeriod = 3 * time.Second
 )
@@ -34,7 +36,9 @@
 	revision   int64         // of keySettledEra; zero: there is none
 	recordedAt clock.Instant
 	unread     bool // no listing has come since the store was restored
-	awaiting   bool // a manifest that a peer knows of is awaited
+	awaiting   bool // a newer manifest than the one that the store shows is awaited
+
+	comparable bool // a copy shows no other revisions than those that this VM has read in the era before
 }
 
 // enterEra takes note of the store's era that an answer shows. It returns false if the answer is of an earlier era than
@@ -44,6 +48,7 @@
 		return era == r.era.newest
 	}
 	before := r.era.newest
+	r.era.comparable = before == link.FirstEra || r.freshness.EraSettled() && now.Sub(r.era.beganAt) > maxCopyAge
 	r.era.newest = era
 	r.leader.forgetKeys(era, now)
 	if era > link.FirstEra {
