Wait for the operators' manifest while a restored store shows an older one than this VM knows

Callers with a withdrawn key could be served by a VM that had missed the removal, if the operators took longer than two seconds to write their manifest again and no other VM that was heard had it in force. Found by reading; the postmortem had it as suspected. Cause: two seconds after the store's return, any answer counted as proof that the manifest in force was the newest, also while the store showed an older one than that, or none: it had evidently not been written again. Change: for ten seconds after the return, the store proves nothing while it shows an older manifest than this VM or a peer knows. Why it works: the operators write the newest manifest whole, so what the store shows then is at least as new as what was lost. Measured: TestOlderManifestOfStoreIsNoProof failed before in two of its four cases and passes.

--- a/node/entry/restoredmanifest_test.go
+++ b/node/entry/restoredmanifest_test.go
@@ -41,6 +41,44 @@
 	}
 }
 
+// TestOlderManifestOfStoreIsNoProof guards withdrawn keys against a VM that takes its manifest for the newest although the
+// restored store shows an older one, so that the operators have not written theirs again. If they never do, the VM goes on later.
+func TestOlderManifestOfStoreIsNoProof(t *testing.T) {
+	for name, c := range map[string]struct {
+		listed func(h *harness) storeChanged
+		after  time.Duration
+		next   int // version that is written then; zero: none
+		fresh  bool
+	}{
+		"older than the one in force": {
+			listed: func(h *harness) storeChanged { return h.listed(restored(49), 3, 40) }, after: link.RewriteGrace,
+		},
+		"none": {
+			listed: func(h *harness) storeChanged {
+				return storeChanged{complete: true, position: restored(9), sent: h.now}
+			}, after: link.RewriteGrace,
+		},
+		"written again": {
+			listed: func(h *harness) storeChanged { return h.listed(restored(49), 3, 40) }, after: link.RewriteGrace, next: 4, fresh: true,
+		},
+		"never written again": {
+			listed: func(h *harness) storeChanged { return h.listed(restored(49), 3, 40) }, after: lateRewrite, fresh: true,
+		},
+	} {
+		h := newRestoredHarness(t)
+		h.apply(c.listed(h))
+		h.now = h.now.Add(c.after)
+		if h.apply(storeChanged{position: restored(56), sent: h.now}); c.next != 0 {
+			m := h.listed(restored(57), c.next, 57)
+			m.complete = false
+			h.apply(m)
+		}
+		if fresh := h.freshness.Fresh(h.now); fresh != c.fresh {
+			t.Errorf("%s: the manifest counts as the newest: %v, want %v", name, fresh, c.fresh)
+		}
+	}
+}
+
 // TestCopyOfEarlierEraIsNoProof guards withdrawn keys over two restores in a row. The second copy may show the manifest at a
 // revision that this VM does not know, although the operators have not written theirs again since.
 func TestCopyOfEarlierEraIsNoProof(t *testing.T) {
--- a/node/entry/storechanges.go
+++ b/node/entry/storechanges.go
@@ -95,6 +95,7 @@
 		r.log.Error("manifest rejected", "error", err.Error(), "in_force", r.manifestVersion())
 		return manifestOther
 	}
+	r.era.shown = m.Version
 	switch {
 	case m.Version < r.manifestVersion():
 		return manifestOther
--- a/node/entry/storeera.go
+++ b/node/entry/storeera.go
@@ -38,7 +38,8 @@
 	unread     bool // no listing has come since the store was restored
 	awaiting   bool // a newer manifest than the one that the store shows is awaited
 
-	comparable bool // a copy shows no other revisions than those that this VM has read in the era before
+	shown      int64 // version of the manifest that the store has shown last in the newest era; zero: none
+	comparable bool  // a copy shows no other revisions than those that this VM has read in the era before
 }
 
 // enterEra takes note of the store's era that an answer shows. It returns false if the answer is of an earlier era than
@@ -49,7 +50,7 @@
 	}
 	before := r.era.newest
 	r.era.comparable = before == link.FirstEra || r.freshness.EraSettled() && now.Sub(r.era.beganAt) > maxCopyAge
-	r.era.newest = era
+	r.era.newest, r.era.shown = era, 0
 	r.leader.forgetKeys(era, now)
 	if era > link.FirstEra {
 		r.freshness.BeginEra(now)
@@ -64,13 +65,14 @@
 	return true
 }
 
-// lacksManifest reports whether another VM knows a newer manifest than the one in force here, which the operators may still
-// have to write again after the store's return from an older copy.
+// lacksManifest reports whether the store shows an older manifest than one that this VM or a peer knows of. After the store's
+// return from an older copy, the operators may then still have to write theirs again.
 func (r *routing) lacksManifest(now clock.Instant) bool {
-	lacks := r.era.beganAt != 0 && now.Sub(r.era.beganAt) < lateRewrite && r.manifestVersion() < r.members.newestManifest
+	newest := max(r.manifestVersion(), r.members.newestManifest)
+	lacks := r.era.beganAt != 0 && now.Sub(r.era.beganAt) < lateRewrite && r.era.shown < newest
 	if lacks != r.era.awaiting {
 		r.era.awaiting = lacks
-		r.log.Info("newer manifest awaited", "awaited", lacks, "in_force", r.manifestVersion(),
+		r.log.Info("newer manifest awaited", "awaited", lacks, "shown", r.era.shown, "in_force", r.manifestVersion(),
 			"known_to_peers", r.members.newestManifest, "era_ms", now.Sub(r.era.beganAt).Milliseconds())
 	}
 	return lacks
