Withdraw keys in the soak, and suspend VMs over the store's return so that they miss the last change

Cause: the soak withdrew one key, in the middle of a run, and changed its manifest so often that a VM which had missed a change learned of it with the next one. Change: sixty keys are withdrawn one after the other, and probes ask each VM with them: none may work five seconds after its acknowledgement, whatever happened meanwhile, and no process accepts a key that it has refused. With each restore of the store, an entry VM is suspended until its revisions have been given out again; a key is withdrawn in that time, and no other change follows for five seconds. TestCheckCatchesBrokenPromises breaks both promises once.

--- a/standin/soak/check.go
+++ b/standin/soak/check.go
@@ -59,6 +59,8 @@
 	Ended     []string        // entry VMs whose process does not run at the end
 	Added     []Added         // routes, in the order of their manifests
 	Probes    []Probe         // in the order of their ends
+	Withdrawn []Withdrawn     // keys, in the order of their manifests
+	KeyProbes []KeyProbe      // in the order of their ends
 }
 
 // Check returns what breaks a promise, one line each.
@@ -81,6 +83,7 @@
 	}
 	c.checkCrashes()
 	c.checkManifests()
+	c.checkKeys()
 	for _, name := range h.Ended {
 		c.report("the process of %s does not run at the end", name)
 	}
@@ -224,7 +227,7 @@
 // thawed reports whether a suspension of an entry VM has just ended at a moment.
 func (c *checker) thawed(at time.Duration) bool {
 	return slices.ContainsFunc(c.Faults, func(f Fault) bool {
-		return f.Kind == EntryPaused && f.End <= at && at < f.End+thawTime
+		return (f.Kind == EntryPaused || f.Kind == EntryMisses) && f.End <= at && at < f.End+thawTime
 	})
 }
 
--- a/standin/soak/check_test.go
+++ b/standin/soak/check_test.go
@@ -92,6 +92,18 @@
 			h.Faults = []Fault{{Kind: EntryPaused, Target: "entry", Start: 7 * time.Second, End: 8 * time.Second}}
 			h.Probes = append(h.Probes, Probe{Route: 0, Entry: 0, Sent: 9 * time.Second, Status: 404})
 		},
+		"accepts spare-key-0 5.1s after": func(h *History) {
+			h.Withdrawn = []Withdrawn{{Key: spareKey(0), At: time.Second}}
+			h.Faults = []Fault{{Kind: StoreRestored, Target: "store", Start: 0, End: 2 * time.Second}}
+			h.KeyProbes = []KeyProbe{{Entry: 1, Sent: 6100 * time.Millisecond, Status: 200}}
+		},
+		"accepts spare-key-0, which it had refused": func(h *History) {
+			h.Withdrawn = []Withdrawn{{Key: spareKey(0), At: time.Second}}
+			h.KeyProbes = []KeyProbe{
+				{Entry: 1, Sent: 2 * time.Second, Ended: 2 * time.Second, Status: 401},
+				{Entry: 1, Sent: 3 * time.Second, Ended: 3 * time.Second, Status: 200},
+			}
+		},
 		"had said that it leaves": func(h *History) {
 			h.Faults = []Fault{{Kind: RunnerSays, Target: "runner", Start: 900 * time.Millisecond, End: 17 * time.Second}}
 		},
@@ -131,6 +143,8 @@
 		{Kind: EntryPaused, Target: "entry", Start: 11 * time.Second, End: 12 * time.Second},
 	}
 	h.Probes = []Probe{{Route: 1, Entry: 0, Sent: 13 * time.Second, Ended: 13 * time.Second, Status: 404}}
+	h.Withdrawn = []Withdrawn{{Key: spareKey(0), At: 9 * time.Second}}
+	h.KeyProbes = []KeyProbe{{Sent: 10 * time.Second, Status: 200}, {Sent: 13 * time.Second, Status: 401}}
 	h.Added[1].At = 8 * time.Second
 	if broken := Check(h); len(broken) > 0 {
 		t.Errorf("reported although an entry VM was paused shortly before: %v", broken)
@@ -151,6 +165,18 @@
 		t.Error("no fault is added")
 	}
 	all = append(all, added...)
+	restores := []Fault{
+		{Kind: StoreRestored, Target: "store", Start: 30 * time.Second, End: 33 * time.Second},
+		{Kind: StoreRestored, Target: "store", Start: 50 * time.Second, End: 53 * time.Second},
+	}
+	all = append(all, restores...)
+	suspended := PlanSuspensions(rand.New(rand.NewPCG(9, 2)), Sizes{Entries: 3}, all)
+	for i, f := range suspended[len(suspended)-2:] {
+		if f.Start < restores[i].Start || f.Start > restores[i].End-restoreOutage || f.End <= restores[i].End {
+			t.Errorf("suspension %v does not last over the store's return %v", f, restores[i])
+		}
+	}
+	all = append(all, suspended...)
 	slices.SortFunc(all, func(a, b Fault) int { return cmp.Compare(a.Start, b.Start) })
 	busy := map[string]time.Duration{}
 	for _, f := range all {
--- a/standin/soak/operator.go
+++ b/standin/soak/operator.go
@@ -43,16 +43,27 @@
 	start      time.Time
 	entries    []string // addresses
 
-	mu      sync.Mutex
-	version int
-	keys    []string
-	routes  []string // of the newest manifest
-	added   []Added  // as far as acknowledged
-	probes  []Probe
+	changing sync.Mutex // held while a manifest is written, and while none may be
+	mu       sync.Mutex
+	version  int
+	keys     []string
+	routes   []string // of the newest manifest
+	added    []Added  // as far as acknowledged
+	probes   []Probe
+
+	withdrawn []Withdrawn // as far as acknowledged
+	keyProbes []KeyProbe
 }
 
 // change writes a new manifest, again and again until the store acknowledges it or the context ends.
 func (o *operator) change(ctx context.Context, set func()) {
+	o.changing.Lock()
+	defer o.changing.Unlock()
+	o.changeNow(ctx, set)
+}
+
+// changeNow writes a new manifest like change. The caller holds o.changing.
+func (o *operator) changeNow(ctx context.Context, set func()) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	set()
@@ -128,19 +139,27 @@
 	name := o.added[p.Route].Name
 	o.mu.Unlock()
 	p.Sent = time.Since(o.start)
-	defer func() { p.Ended = time.Since(o.start) }()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+o.entries[p.Entry]+"/"+name+"/x", nil)
+	p.Status = get(ctx, client, "http://"+o.entries[p.Entry]+"/"+name+"/x", id, "")
+	p.Ended = time.Since(o.start)
+}
+
+// get sends a request, with an API key or without, and returns the status of its answer; zero: none.
+func get(ctx context.Context, client *http.Client, url, id, key string) int {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return
+		return 0
 	}
 	req.Host = "coop.example"
 	req.Header.Set("X-Mangopass-Request-Id", id)
 	req.Header.Set("X-Mangopass-Deadline", "1000")
+	if key != "" {
+		req.Header.Set("Api-Key", key)
+	}
 	resp, err := client.Do(req)
 	if err != nil {
-		return
+		return 0
 	}
 	defer func() { _ = resp.Body.Close() }()
 	_, _ = io.Copy(io.Discard, resp.Body)
-	p.Status = resp.StatusCode
+	return resp.StatusCode
 }
--- a/standin/soak/plan.go
+++ b/standin/soak/plan.go
@@ -36,6 +36,10 @@
 	RunnerDrains  Kind = "runner_drains"
 	RunnerSays    Kind = "runner_says_it_leaves" // in its answers; its entry stays as it is
 	RunnerPauses  Kind = "runner_pauses"         // refuses all requests and states a time to come back
+
+	// EntryMisses is a suspension in which a key is withdrawn and the store returns from an older copy. Until some seconds
+	// after the VM has gone on, no other manifest follows that would tell it what it has missed.
+	EntryMisses Kind = "entry_misses_change"
 )
 
 // planned reports whether the fault is planned work, which must break no request.
@@ -80,6 +84,10 @@
 	restoreAge   = 6 * time.Second // the largest time by which the copy is older
 	// restoreOutage is the time for which the store is away before it is restored.
 	restoreOutage = 400 * time.Millisecond
+	// maxUnread is the largest time between the copy of a restore and the suspension of an entry VM that lasts over it. Its
+	// revisions are given out again in about the same time, after which the VM goes on for at most maxResume.
+	maxUnread = 2 * time.Second
+	maxResume = 3 * time.Second
 )
 
 // Sizes is the number of targets of each kind; there is one store.
@@ -132,12 +140,33 @@
 		case RunnerSays, RunnerPauses:
 			f.Target, f.Index, f.End = "runner", r.IntN(sizes.Runners), at+leavingTime
 		}
-		overlaps := slices.ContainsFunc(append(others, added...), func(o Fault) bool {
-			return o.Target == f.Target && o.Index == f.Index && o.Start < f.End && f.Start < o.End
-		})
-		if !overlaps && f.End < duration {
+		if f.End < duration && !slices.ContainsFunc(append(others, added...), f.overlaps) {
 			added = append(added, f)
 		}
 	}
 	return added
 }
+
+// PlanSuspensions draws entry VMs that are suspended over the returns of the store from an older copy and miss the last change
+// before. They go on once the store has given out again the revisions that they know. An entry VM has one fault at a time.
+func PlanSuspensions(r *rand.Rand, sizes Sizes, others []Fault) []Fault {
+	var suspensions []Fault
+	for _, restore := range others {
+		if restore.Kind != StoreRestored {
+			continue
+		}
+		f := Fault{Kind: EntryMisses, Target: "entry", Index: r.IntN(sizes.Entries)}
+		unread := min(maxUnread, time.Duration(r.Int64N(int64(restore.End-restoreOutage-restore.Start)+1)))
+		f.Start = restore.Start + unread
+		f.End = restore.End + unread + minFaultTime + time.Duration(r.Int64N(int64(maxResume-minFaultTime)))
+		if !slices.ContainsFunc(append(others, suspensions...), f.overlaps) {
+			suspensions = append(suspensions, f)
+		}
+	}
+	return suspensions
+}
+
+// overlaps reports whether another fault has the same target at the same time.
+func (f Fault) overlaps(o Fault) bool {
+	return o.Target == f.Target && o.Index == f.Index && o.Start < f.End && f.Start < o.End
+}
--- a/standin/soak/run.go
+++ b/standin/soak/run.go
@@ -45,6 +45,8 @@
 	recoveryProbes = 20
 	// addedStream is the stream of random numbers for PlanAdded; the callers' streams count up from 1.
 	addedStream = 1 << 32
+	// suspensionStream is the stream for PlanSuspensions.
+	suspensionStream = 1<<32 + 20
 	// stopTimeout is how long an entry VM may take for a planned stop.
 	stopTimeout = 12 * time.Second
 )
@@ -61,6 +63,7 @@
 	sizes := Sizes{Entries: s.Entries, Runners: len(x.deployment.Runners), Links: len(x.proxies)}
 	faults := Plan(random, s.Duration, sizes)
 	faults = append(faults, PlanAdded(rand.New(rand.NewPCG(s.Seed, addedStream)), s.Duration, sizes, faults)...)
+	faults = append(faults, PlanSuspensions(rand.New(rand.NewPCG(s.Seed, suspensionStream)), sizes, faults)...)
 	x.callers = &callers{start: time.Now()}
 	for _, e := range x.deployment.Entries {
 		x.callers.entries = append(x.callers.entries, e.Callers)
@@ -78,6 +81,12 @@
 	load.Go("probes", func(ctx context.Context) {
 		x.operator.probe(ctx, rand.New(rand.NewPCG(s.Seed, operatorStream+1)))
 	})
+	load.Go("withdrawals", func(ctx context.Context) {
+		x.operator.withdrawKeys(ctx, rand.New(rand.NewPCG(s.Seed, keyStream)))
+	})
+	load.Go("key probes", func(ctx context.Context) {
+		x.operator.probeKeys(ctx, rand.New(rand.NewPCG(s.Seed, keyStream+1)))
+	})
 	revokedAt := x.playFaults(faults)
 	recovered := x.awaitRecovery()
 	load.Stop()
@@ -121,7 +130,11 @@
 		return err
 	}
 	x.operator = &operator{deployment: x.deployment}
-	x.operator.setKeys(x.ctx, deploy.CallerKey, oldKey)
+	keys := []string{deploy.CallerKey, oldKey}
+	for i := range spareKeys {
+		keys = append(keys, spareKey(i))
+	}
+	x.operator.setKeys(x.ctx, keys...)
 	for _, r := range x.deployment.Runners {
 		x.setRunnerFaults(r, runner.Faults{})
 	}
@@ -162,7 +175,7 @@
 		})
 	}
 	duty.Pause(ctx, x.Duration/2-time.Since(x.callers.start))
-	x.operator.setKeys(ctx, deploy.CallerKey)
+	x.operator.withdraw(ctx, oldKey)
 	revokedAt = time.Since(x.callers.start)
 	for _, f := range faults {
 		duty.Pause(ctx, f.End-time.Since(x.callers.start))
@@ -228,6 +241,13 @@
 func (x *execution) playEntry(f Fault, lasts func()) {
 	m := x.managers[f.Index]
 	switch f.Kind {
+	case EntryMisses:
+		m.signal(syscall.SIGSTOP)
+		x.operator.withdrawNext(x.ctx, func() {
+			lasts()
+			m.signal(syscall.SIGCONT)
+			duty.Pause(x.ctx, revokeBound)
+		})
 	case EntryPaused:
 		m.signal(syscall.SIGSTOP)
 		lasts()
@@ -264,7 +284,7 @@
 func (x *execution) result(faults []Fault, revokedAt time.Duration, recovered bool) (Result, error) {
 	h := History{
 		Start: x.callers.start, Faults: faults, Requests: x.callers.all(), RevokedAt: revokedAt,
-		Added: x.operator.added, Probes: x.operator.probes,
+		Added: x.operator.added, Probes: x.operator.probes, Withdrawn: x.operator.withdrawn, KeyProbes: x.operator.keyProbes,
 	}
 	for _, r := range x.deployment.Runners {
 		record, err := x.deployment.Record(context.Background(), r.Address)
