Report broken runs again whose report had no answer, and count each once

A request that crashes runners could reach more of them than allowed (BUDGET): a VM whose neighbour's report was lost never learned of its crashes, and sent it to a runner again. Cause: the digests were dropped when a report was made. They could not simply be repeated, as each one counts: an innocent request would be refused after one broken run. Change: the digests of a report without an answer are stated again with its sequence number, and a receiver that has applied that report passes over them. Measured: TestCrashIsCountedOnceAtEachVM failed before on its first check, and passes 3,000.

--- a/fleet/link/report.go
+++ b/fleet/link/report.go
@@ -49,6 +49,10 @@
 	Sound      []uint64               // prompt parts with crashes that a complete run has proved sound since
 	Blocked    []BlockedPart          // all prompt parts that the sender blocks, when they have changed
 
+	// StruckBefore holds the broken runs of earlier reports without an answer. A receiver that has applied such a report has
+	// counted them.
+	StruckBefore []CrashBatch
+
 	Manifest int64 // newest version of the manifest that the sender knows of
 
 	StoreEra      int64      // era of the platform's store that the sender knows
@@ -77,6 +81,12 @@
 // maxFigure is the largest figure that a report may state.
 const maxFigure = 1e15
 
+// CrashBatch is what a report with the given sequence number has stated as Struck.
+type CrashBatch struct {
+	Sequence uint64
+	Digests  []uint64
+}
+
 // EndedTerm says that the leader of a shard gives no more orders to its runners under a term, its exclusive right to
 // give them.
 type EndedTerm struct {
--- a/node/entry/members.go
+++ b/node/entry/members.go
@@ -60,7 +60,8 @@
 	knownVersion      uint64        // version of this VM's runner states that it has
 	loadRequests      []machine.LoadRequest
 	unreportedLeaving []machine.Process                     // processes of runners to report to it that have stated to leave
-	unreportedCrashes []uint64                              // request digests of broken runs to report to it
+	crashes           crashReports                          // broken runs to report to it
+	crashesAppliedTo  uint64                                // sequence of its last report whose broken runs have been counted
 	reportedLimits    map[machine.RunnerID]reportedLimit    // limits and totals that were last reported to it
 	partUpdates       partUpdates                           // to report to it
 	partUpdatesSent   partUpdates                           // in the report under way
--- a/node/entry/reports.go
+++ b/node/entry/reports.go
@@ -127,7 +127,7 @@
 	report.Loads, report.Spent = r.loadsFor(name, p), r.quotaUsageFor(name, p, now)
 	report.Limits = r.limitUsageFor(name, p, now)
 	report.Leaving = r.leavingFor(p)
-	report.Struck, p.unreportedCrashes = p.unreportedCrashes, nil
+	p.crashes.addTo(report)
 	r.addPartUpdates(report, p, now)
 	if p == r.towardsPlanner() {
 		report.Asked = r.demand.Take(r.waitingRequests(), now)
@@ -202,6 +202,7 @@
 	p.failures = 0
 	if m.role == p.role && m.series == p.series {
 		p.knownVersion, p.fed = m.version, p.feedSent
+		p.crashes.confirm()
 		for organisation := range p.reportedUsage {
 			if q := r.quotas[organisation]; q != nil {
 				q.Confirm(m.node)
@@ -275,9 +276,7 @@
 	}
 	r.applyLimitUsage(in, now)
 	r.applyLeaving(in, now)
-	for _, digest := range in.Struck {
-		r.countCrash(digest, in.Node, now)
-	}
+	r.applyCrashes(in, p, now)
 	r.applyPartUpdates(in, now)
 	r.applyDemand(in, p, now)
 	r.applyFeed(in.Feed, now)
@@ -308,12 +307,6 @@
 	}
 }
 
-// countCrash counts a broken run of a request and passes it on; source is the VM that reported it, empty for this one.
-func (r *routing) countCrash(digest uint64, source string, now clock.Instant) {
-	r.crashes.Add(digest, now)
-	r.passOn(source, func(p *peer) { p.unreportedCrashes = append(p.unreportedCrashes, digest) })
-}
-
 // passOn calls add for the neighbours that cannot know from elsewhere what source has reported; an empty source is this
 // VM.
 func (r *routing) passOn(source string, add func(p *peer)) {
--- a/node/entry/reports_test.go
+++ b/node/entry/reports_test.go
@@ -204,6 +204,46 @@
 	}
 }
 
+// TestCrashIsCountedOnceAtEachVM guards runners against a request that crashes them at a VM which has not learned of the
+// crashes before, because a report was lost, and innocent requests against a broken run that counts twice there, because a
+// report was applied and its answer lost.
+func TestCrashIsCountedOnceAtEachVM(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := newHarness(), newHarnessOf("n2", "y", 5)
+		for _, side := range []*harness{a, b} {
+			side.setUp()
+		}
+		a.addPeerEntry("n2", 5)
+		b.addPeerIn("z", "n1", 1)
+		exchange := func(applied, answered bool) {
+			a.now = a.now.Add(reportPeriod)
+			b.now = a.now
+			b.sendReports(b.now)
+			a.apply(peerReported{report: b.takeReport(t, "n1", true)})
+			a.sendReports(a.now)
+			if report := a.takeReport(t, "n2", answered); applied || answered {
+				b.apply(peerReported{report: report})
+			}
+		}
+		exchange(true, true)
+		crashes := make(map[uint64]int)
+		for range rapid.IntRange(1, 12).Draw(t, "reports") {
+			for range rapid.IntRange(0, 2).Draw(t, "crashes") {
+				digest := uint64(rapid.IntRange(1, 9).Draw(t, "digest"))
+				a.countCrash(digest, "", a.now)
+				crashes[digest]++
+			}
+			exchange(rapid.Bool().Draw(t, "applied"), rapid.Bool().Draw(t, "answered"))
+		}
+		exchange(true, true)
+		for digest := range uint64(10) {
+			if got := b.crashes.Blocked(digest, b.now); got != (crashes[digest] >= 2) {
+				t.Fatalf("request %d broke %d runs, and the other VM refuses it: %v", digest, crashes[digest], got)
+			}
+		}
+	})
+}
+
 // TestCrashCountsExpire guards against memory that grows with each broken run as long as the process lives.
 func TestCrashCountsExpire(t *testing.T) {
 	h := newHarness()
