End a term whose holder key another build has replaced

Two VMs could give orders to one runner (ONE) if a VM of another build took a shard with a holder value that this build can't read. Cause: a value that can't be read left the former leader in place, and this VM's own term with it. Change: such a key ends the term; the shard has no leader that is known. Measured: TestUnreadableHolderEndsTerm failed before and passes, as do the tests of terms and leaders.

--- a/node/entry/malformed_test.go
+++ b/node/entry/malformed_test.go
@@ -78,3 +78,18 @@
 		}
 	})
 }
+
+// TestUnreadableHolderEndsTerm guards against orders of two leaders: a holder key that this VM can't read was written by
+// another one, of another build, and ends the term that this VM held.
+func TestUnreadableHolderEndsTerm(t *testing.T) {
+	h := newLeader(t)
+	h.apply(storeChanged{
+		position: link.Position{Era: link.FirstEra, Revision: 41}, sent: h.now,
+		ownKeys: []ownKeyChange{{key: keyHolder(3), value: []byte("{"), revision: 41}},
+	})
+	s := &h.leader.shards[3]
+	if s.leadership.MayOrder(h.now) || s.live.Load() || s.leaderNode != "" {
+		t.Errorf("orders allowed: %v, live: %v, leader %q; want the term to have ended", s.leadership.MayOrder(h.now), s.live.Load(),
+			s.leaderNode)
+	}
+}
--- a/node/entry/terms.go
+++ b/node/entry/terms.go
@@ -87,6 +87,8 @@
 	var e holderEntry
 	if err := json.Unmarshal(c.value, &e); err != nil {
 		r.log.Error("holder entry rejected", "shard", k, "error", err.Error())
+		s.leaderNode, s.leaderIsSelf, s.continued = "", false, false
+		r.endTerm(k, "holder key not readable", now)
 		return
 	}
 	if s.holderIsOld = e.era() < c.era; s.holderIsOld {
