Share the probes of routes and keys in the soak

Cause: the probes of withdrawn keys repeated those of added routes but for what they ask for. Change: one function with the targets as its argument; the draws of a seed stay the same.

--- a/standin/soak/check.go
+++ b/standin/soak/check.go
@@ -60,7 +60,7 @@
 	Added     []Added         // routes, in the order of their manifests
 	Probes    []Probe         // in the order of their ends
 	Withdrawn []Withdrawn     // keys, in the order of their manifests
-	KeyProbes []KeyProbe      // in the order of their ends
+	KeyProbes []Probe         // in the order of their ends
 }
 
 // Check returns what breaks a promise, one line each.
--- a/standin/soak/check_test.go
+++ b/standin/soak/check_test.go
@@ -34,7 +34,7 @@
 			}},
 		},
 		Added:  []Added{{"added-2", time.Second}, {"added-3", 2 * time.Second}},
-		Probes: []Probe{{Route: 1, Entry: 0, Sent: 3 * time.Second, Status: 404}, {Route: 1, Entry: 0, Sent: 7 * time.Second, Status: 200}},
+		Probes: []Probe{{Target: 1, Entry: 0, Sent: 3 * time.Second, Status: 404}, {Target: 1, Entry: 0, Sent: 7 * time.Second, Status: 200}},
 	}
 }
 
@@ -86,20 +86,20 @@
 			}
 		},
 		"refuses the route added-3 with 404 4.5s after": func(h *History) {
-			h.Probes = []Probe{{Route: 1, Entry: 1, Sent: 6500 * time.Millisecond, Status: 404}}
+			h.Probes = []Probe{{Target: 1, Entry: 1, Sent: 6500 * time.Millisecond, Status: 404}}
 		},
 		"the route added-2, which it had served before": func(h *History) {
 			h.Faults = []Fault{{Kind: EntryPaused, Target: "entry", Start: 7 * time.Second, End: 8 * time.Second}}
-			h.Probes = append(h.Probes, Probe{Route: 0, Entry: 0, Sent: 9 * time.Second, Status: 404})
+			h.Probes = append(h.Probes, Probe{Target: 0, Entry: 0, Sent: 9 * time.Second, Status: 404})
 		},
 		"accepts spare-key-0 5.1s after": func(h *History) {
 			h.Withdrawn = []Withdrawn{{Key: spareKey(0), At: time.Second}}
 			h.Faults = []Fault{{Kind: StoreRestored, Target: "store", Start: 0, End: 2 * time.Second}}
-			h.KeyProbes = []KeyProbe{{Entry: 1, Sent: 6100 * time.Millisecond, Status: 200}}
+			h.KeyProbes = []Probe{{Entry: 1, Sent: 6100 * time.Millisecond, Status: 200}}
 		},
 		"accepts spare-key-0, which it had refused": func(h *History) {
 			h.Withdrawn = []Withdrawn{{Key: spareKey(0), At: time.Second}}
-			h.KeyProbes = []KeyProbe{
+			h.KeyProbes = []Probe{
 				{Entry: 1, Sent: 2 * time.Second, Ended: 2 * time.Second, Status: 401},
 				{Entry: 1, Sent: 3 * time.Second, Ended: 3 * time.Second, Status: 200},
 			}
@@ -142,9 +142,9 @@
 		{Kind: RunnerLeaves, Target: "runner", Start: 13 * time.Second, End: 17 * time.Second},
 		{Kind: EntryPaused, Target: "entry", Start: 11 * time.Second, End: 12 * time.Second},
 	}
-	h.Probes = []Probe{{Route: 1, Entry: 0, Sent: 13 * time.Second, Ended: 13 * time.Second, Status: 404}}
+	h.Probes = []Probe{{Target: 1, Entry: 0, Sent: 13 * time.Second, Ended: 13 * time.Second, Status: 404}}
 	h.Withdrawn = []Withdrawn{{Key: spareKey(0), At: 9 * time.Second}}
-	h.KeyProbes = []KeyProbe{{Sent: 10 * time.Second, Status: 200}, {Sent: 13 * time.Second, Status: 401}}
+	h.KeyProbes = []Probe{{Sent: 10 * time.Second, Status: 200}, {Sent: 13 * time.Second, Status: 401}}
 	h.Added[1].At = 8 * time.Second
 	if broken := Check(h); len(broken) > 0 {
 		t.Errorf("reported although an entry VM was paused shortly before: %v", broken)
--- a/standin/soak/checkmanifests.go
+++ b/standin/soak/checkmanifests.go
@@ -14,13 +14,13 @@
 func (c *checker) checkManifests() {
 	newest := make(map[int]int) // by entry VM: the newest route that it has served
 	for _, p := range c.Probes {
-		added := c.Added[p.Route]
+		added := c.Added[p.Target]
 		served, known := newest[p.Entry]
 		switch {
 		case p.Status == http.StatusOK:
-			newest[p.Entry] = max(served, p.Route)
+			newest[p.Entry] = max(served, p.Target)
 		case p.Status != http.StatusNotFound:
-		case known && p.Route <= served:
+		case known && p.Target <= served:
 			c.report("entry %d refuses the route %s, which it had served before, with 404", p.Entry, added.Name)
 		case p.Sent > added.At+forceBound && !c.unsynced(p.Entry, added.At, p.Ended):
 			c.report("entry %d refuses the route %s with 404 %v after its acknowledgement", p.Entry, added.Name, p.Sent-added.At)
--- a/standin/soak/keys.go
+++ b/standin/soak/keys.go
@@ -26,14 +26,6 @@
 	At  time.Duration
 }
 
-// KeyProbe is a request with a withdrawn key, sent to one entry VM.
-type KeyProbe struct {
-	Key         int // index of the key in History.Withdrawn
-	Entry       int
-	Sent, Ended time.Duration
-	Status      int // zero: no answer
-}
-
 func spareKey(i int) string { return fmt.Sprint("spare-key-", i) }
 
 // without returns keys without one of them.
@@ -67,28 +59,14 @@
 	}
 }
 
-// probeKeys asks the entry VMs in turn with the key that was withdrawn last, or now and then with an earlier one, until the
-// context ends.
+// probeKeys probes the withdrawn keys, half of the time the one that was withdrawn last, until the context ends.
 func (o *operator) probeKeys(ctx context.Context, r *rand.Rand) {
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: time.Second}
-	for n := 0; duty.Pause(ctx, probePeriod); n++ {
-		o.mu.Lock()
-		count := len(o.withdrawn)
-		o.mu.Unlock()
-		if count == 0 {
-			continue
-		}
-		p := KeyProbe{Key: count - 1, Entry: n % len(o.entries)}
-		if r.IntN(2) == 0 {
-			p.Key = r.IntN(count)
+	o.probe(ctx, r, "key-probe", 2, &o.keyProbes, func() (targets []probeTarget) {
+		for _, w := range o.withdrawn {
+			targets = append(targets, probeTarget{path: "stock", key: w.Key})
 		}
-		p.Sent = time.Since(o.start)
-		p.Status = get(ctx, client, "http://"+o.entries[p.Entry]+"/stock/x", fmt.Sprint("key-probe-", n), spareKey(p.Key))
-		p.Ended = time.Since(o.start)
-		o.mu.Lock()
-		o.keyProbes = append(o.keyProbes, p)
-		o.mu.Unlock()
-	}
+		return targets
+	})
 }
 
 // checkKeys checks that a key works no more once its withdrawal has been acknowledged for revokeBound, whatever has happened
@@ -97,7 +75,7 @@
 	type use struct{ entry, key int }
 	refused := make(map[use]time.Duration)
 	for _, p := range c.KeyProbes {
-		withdrawn, u := c.Withdrawn[p.Key], use{p.Entry, p.Key}
+		withdrawn, u := c.Withdrawn[p.Target], use{p.Entry, p.Target}
 		since, known := refused[u]
 		switch {
 		case p.Status == http.StatusUnauthorized:
--- a/standin/soak/operator.go
+++ b/standin/soak/operator.go
@@ -17,7 +17,7 @@
 	// maxChangeGap and minChangeGap bound the time between two manifests, several of which may come within a second.
 	maxChangeGap = 3 * time.Second
 	minChangeGap = 100 * time.Millisecond
-	// probePeriod is the time between two requests to a route that was added.
+	// probePeriod is the time between two probes.
 	probePeriod = 40 * time.Millisecond
 	// operatorStream is the stream of random numbers for the manifests and probes.
 	operatorStream = 1<<32 + 1
@@ -29,9 +29,9 @@
 	At   time.Duration
 }
 
-// Probe is a request to a route that was added, sent to one entry VM.
+// Probe is a request that shows whether an entry VM has a manifest in force.
 type Probe struct {
-	Route       int // index of the route in History.Added
+	Target      int // index of the route in History.Added, or of the key in History.Withdrawn
 	Entry       int
 	Sent, Ended time.Duration
 	Status      int // zero: no answer
@@ -52,7 +52,7 @@
 	probes   []Probe
 
 	withdrawn []Withdrawn // as far as acknowledged
-	keyProbes []KeyProbe
+	keyProbes []Probe
 }
 
 // change writes a new manifest, again and again until the store acknowledges it or the context ends.
@@ -112,48 +112,56 @@
 	}
 }
 
-// probe asks the entry VMs in turn for the newest route, or now and then for an earlier one, until the context ends.
-func (o *operator) probe(ctx context.Context, r *rand.Rand) {
+// probeTarget is what a probe asks for, and the key that it carries; empty: none.
+type probeTarget struct{ path, key string }
+
+// probeRoutes probes the routes that were added, mostly the newest one, until the context ends.
+func (o *operator) probeRoutes(ctx context.Context, r *rand.Rand) {
+	o.probe(ctx, r, "probe", 4, &o.probes, func() (targets []probeTarget) {
+		for _, a := range o.added {
+			targets = append(targets, probeTarget{path: a.Name})
+		}
+		return targets
+	})
+}
+
+// probe sends the entry VMs in turn a request for the newest target or, one time in earlier, for any of them, until the context
+// ends. o.mu is held while it calls targets.
+func (o *operator) probe(
+	ctx context.Context, r *rand.Rand, name string, earlier int, probes *[]Probe, targets func() []probeTarget,
+) {
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: time.Second}
 	for n := 0; duty.Pause(ctx, probePeriod); n++ {
 		o.mu.Lock()
-		count := len(o.added)
+		all := targets()
 		o.mu.Unlock()
-		if count == 0 {
+		if len(all) == 0 {
 			continue
 		}
-		p := Probe{Route: count - 1, Entry: n % len(o.entries)}
-		if r.IntN(4) == 0 {
-			p.Route = r.IntN(count)
+		p := Probe{Target: len(all) - 1, Entry: n % len(o.entries)}
+		if r.IntN(earlier) == 0 {
+			p.Target = r.IntN(len(all))
 		}
-		o.send(ctx, client, &p, fmt.Sprint("probe-", n))
+		p.Sent = time.Since(o.start)
+		p.Status = get(ctx, client, o.entries[p.Entry], fmt.Sprint(name, "-", n), all[p.Target])
+		p.Ended = time.Since(o.start)
 		o.mu.Lock()
-		o.probes = append(o.probes, p)
+		*probes = append(*probes, p)
 		o.mu.Unlock()
 	}
 }
 
-// send sends a probe and records what comes back.
-func (o *operator) send(ctx context.Context, client *http.Client, p *Probe, id string) {
-	o.mu.Lock()
-	name := o.added[p.Route].Name
-	o.mu.Unlock()
-	p.Sent = time.Since(o.start)
-	p.Status = get(ctx, client, "http://"+o.entries[p.Entry]+"/"+name+"/x", id, "")
-	p.Ended = time.Since(o.start)
-}
-
-// get sends a request, with an API key or without, and returns the status of its answer; zero: none.
-func get(ctx context.Context, client *http.Client, url, id, key string) int {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+// get sends a request to an entry VM and returns the status of its answer; zero: none.
+func get(ctx context.Context, client *http.Client, entry, id string, target probeTarget) int {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+entry+"/"+target.path+"/x", nil)
 	if err != nil {
 		return 0
 	}
 	req.Host = "coop.example"
 	req.Header.Set("X-Mangopass-Request-Id", id)
 	req.Header.Set("X-Mangopass-Deadline", "1000")
-	if key != "" {
-		req.Header.Set("Api-Key", key)
+	if target.key != "" {
+		req.Header.Set("Api-Key", target.key)
 	}
 	resp, err := client.Do(req)
 	if err != nil {
--- a/standin/soak/run.go
+++ b/standin/soak/run.go
@@ -79,7 +79,7 @@
 		x.operator.addRoutes(ctx, rand.New(rand.NewPCG(s.Seed, operatorStream)))
 	})
 	load.Go("probes", func(ctx context.Context) {
-		x.operator.probe(ctx, rand.New(rand.NewPCG(s.Seed, operatorStream+1)))
+		x.operator.probeRoutes(ctx, rand.New(rand.NewPCG(s.Seed, operatorStream+1)))
 	})
 	load.Go("withdrawals", func(ctx context.Context) {
 		x.operator.withdrawKeys(ctx, rand.New(rand.NewPCG(s.Seed, keyStream)))
