Put a reloaded slack of the limits in force for organisations that are known

An organisation could use more than the settings allow (QUOTA) after a reload that lowers the slack. Cause: a quota kept the slack that it was created with. Change: a reload sets it for all quotas, and their levels keep their proportion, as with a changed limit. Measured: TestReloadedSlackBoundsQuota failed before (1,500 tokens with and without the slack) and passes, as do the tests of quotas.

--- a/fleet/contract/quota.go
+++ b/fleet/contract/quota.go
@@ -66,13 +66,18 @@
 
 // SetLimit applies a changed limit. The level keeps its proportion to the capacity: a lowered limit applies from now
 // on, and what was used under the former one does not count as debt.
-func (q *Quota) SetLimit(limit Limit, now clock.Instant) {
-	if limit == q.limit {
+func (q *Quota) SetLimit(limit Limit, now clock.Instant) { q.set(limit, q.slack, now) }
+
+// SetSlack applies a changed slack in the same way.
+func (q *Quota) SetSlack(slack QuotaSlack, now clock.Instant) { q.set(q.limit, slack, now) }
+
+func (q *Quota) set(limit Limit, slack QuotaSlack, now clock.Instant) {
+	if limit == q.limit && slack == q.slack {
 		return
 	}
 	q.refill(now)
 	before := q.capacity()
-	q.limit = limit
+	q.limit, q.slack = limit, slack
 	if before > 0 {
 		q.level *= q.capacity() / before
 	}
--- a/node/entry/limits_test.go
+++ b/node/entry/limits_test.go
@@ -230,3 +230,26 @@
 		t.Errorf("%v in ten seconds, want 3 to 10 at the limited runner", fmt.Sprint(sent))
 	}
 }
+
+// TestReloadedSlackBoundsQuota guards an organisation's limit against a slack that the settings have lowered since its first
+// request.
+func TestReloadedSlackBoundsQuota(t *testing.T) {
+	admitted := func(h *harness) int {
+		quota, n := h.quota(h.organisation("coop"), h.now), 0
+		h.now = h.now.Add(time.Hour) // until the bucket is full
+		for quota.Take(1, h.now) {
+			n++
+		}
+		return n
+	}
+	h := newHarness()
+	h.rules.QuotaSlack, h.rules.QuotaWindowS = 5000, 8
+	h.setUp()
+	before := admitted(h)
+	changed := h.rules
+	changed.QuotaSlack = 0
+	h.apply(rulesChanged{rules: changed})
+	if after := admitted(h); after >= before {
+		t.Errorf("%d tokens at once without the slack, %d with it", after, before)
+	}
+}
--- a/node/entry/reload.go
+++ b/node/entry/reload.go
@@ -56,7 +56,7 @@
 type rulesChanged struct{ rules settings.Rules }
 
 // apply puts the rules in force.
-func (m rulesChanged) apply(r *routing, _ clock.Instant) {
+func (m rulesChanged) apply(r *routing, now clock.Instant) {
 	if m.rules == r.rules {
 		return
 	}
@@ -65,6 +65,9 @@
 	for _, b := range r.retryBudgets {
 		b.SetRule(r.budgetRule())
 	}
+	for _, q := range r.quotas {
+		q.SetSlack(r.quotaSlack(), now)
+	}
 }
 
 func (r *routing) budgetRule() link.RetryBudgetRule {
