--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -119,7 +119,7 @@
 	}
 	keeper := &leaseKeeper{
 		store: store, routing: r.intake, claims: r.leader.claims, log: e.log, node: e.settings.ID,
-		entry: nodeEntry{Address: e.settings.PeerAddress(), Zone: zone.ID(e.settings.Zone), Boot: boot},
+		entry: nodeEntry{Address: e.settings.AdvertisedAddress(), Zone: zone.ID(e.settings.Zone), Boot: boot},
 		ttl:   max(leaseTTL, e.settings.Rules.MinLease()),
 	}
 	e.group.Go("lease", keeper.run)
--- a/node/entry/routing.go
+++ b/node/entry/routing.go
@@ -79,7 +79,7 @@
 func newRouting(s *settings.Entry, boot int64, log *slog.Logger, m *entryMetrics) *routing {
 	random := rand.New(rand.NewPCG(uint64(boot), uint64(len(s.ID))))
 	r := &routing{
-		node: s.ID, address: s.PeerAddress(), zone: zone.ID(s.Zone), boot: boot, rules: s.Rules, log: log, metrics: m,
+		node: s.ID, address: s.AdvertisedAddress(), zone: zone.ID(s.Zone), boot: boot, rules: s.Rules, log: log, metrics: m,
 		rand: random, intake: ring.New[message]("routing", intakeCapacity),
 		freshness: link.NewFreshness(freshnessBound(s.Rules)), changes: link.NewChangeLog(), fleet: machine.NewFleet(),
 		table:        link.NewTable(s.Zones, random),
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -26,7 +26,8 @@
 	Listen Listen `json:"listen"`
 	Rules  Rules  `json:"rules"`
 
-	Zones zone.Map `json:"zones" doc:"region of each zone"`
+	Zones     zone.Map `json:"zones" doc:"region of each zone"`
+	Advertise string   `json:"advertise,omitempty" doc:"IP:port at which other VMs reach this one, if that is not the first of ports at ip"`
 }
 
 // Listen holds the addresses on which an entry VM listens, as IP:port.
@@ -156,6 +157,14 @@
 // PeerAddress returns the address on which this VM takes calls from other entry VMs.
 func (s *Entry) PeerAddress() string { return fmt.Sprintf("%s:%d", s.IP, s.Ports[0]) }
 
+// AdvertisedAddress returns the address at which other entry VMs reach this one.
+func (s *Entry) AdvertisedAddress() string {
+	if s.Advertise != "" {
+		return s.Advertise
+	}
+	return s.PeerAddress()
+}
+
 // MetricsAddress returns the address that serves metrics and status.
 func (s *Entry) MetricsAddress() string {
 	if s.Listen.Metrics != "" {
@@ -198,7 +207,7 @@
 		}
 	}
 	for _, a := range []struct{ field, value string }{
-		{"listen.api", s.Listen.API}, {"listen.metrics", s.Listen.Metrics},
+		{"listen.api", s.Listen.API}, {"listen.metrics", s.Listen.Metrics}, {"advertise", s.Advertise},
 	} {
 		if _, err := netip.ParseAddrPort(a.value); a.value != "" && err != nil {
 			report(a.field, "%q is not IP:port", a.value)
--- a/node/settings/settings_test.go
+++ b/node/settings/settings_test.go
@@ -22,3 +22,21 @@
 		}
 	}
 }
+
+// TestAdvertisedAddress guards against an entry VM that other VMs can't reach, because an address that is no address is taken
+// for the one at which it can be reached.
+func TestAdvertisedAddress(t *testing.T) {
+	parse := func(advertise string) (*Entry, error) {
+		return Parse([]byte(`{"id": "n", "ip": "10.0.0.1", "zone": "z", "ports": [7600, 7615], "store": "10.0.0.9:80",
+			"listen": {"callers": "10.0.0.1:80", "ready": "10.0.0.1:81"}, "zones": {"z": "r"}, "advertise": "` + advertise + `"}`))
+	}
+	for advertise, want := range map[string]string{"": "10.0.0.1:7600", "192.0.2.7:9000": "192.0.2.7:9000"} {
+		s, err := parse(advertise)
+		if err != nil || s.AdvertisedAddress() != want || s.PeerAddress() != "10.0.0.1:7600" {
+			t.Errorf("advertise %q: %v, error %v; want the other VMs to use %s", advertise, s, err, want)
+		}
+	}
+	if _, err := parse("entry-1:7600"); err == nil || !strings.Contains(err.Error(), "settings: advertise:") {
+		t.Errorf("error %v, want one that names the field", err)
+	}
+}
--- a/standin/deploy/deploy.go
+++ b/standin/deploy/deploy.go
@@ -39,6 +39,9 @@
 	// Proxy returns the address of a proxy in front of another one, for the link with the given name: runners are announced
 	// at that of their links, and entry VMs get that of theirs to the store. nil: there are no proxies.
 	Proxy func(link, address string) (string, error)
+	// PeerProxy returns the address of a proxy in front of the one at which an entry VM takes reports; the others get that.
+	// nil: there are none.
+	PeerProxy func(entry, address string) (string, error)
 }
 
 // Process is a process that the deployment started.
@@ -180,6 +183,12 @@
 		},
 		"zones": map[string]string{"dc-a": "region-1"},
 	}
+	if d.spec.PeerProxy != nil {
+		var err error
+		if settings["advertise"], err = d.spec.PeerProxy(name, addresses[4]); err != nil {
+			return err
+		}
+	}
 	data, err := json.MarshalIndent(settings, "", "  ")
 	if err != nil {
 		return errors.Wrap(err, "encode settings")
