Disturb the links between entry VMs in the soak

Change: a proxy before each VM's address for reports, with the faults of the other links, from a stream of its own. Such a fault excuses limits, crashing prompt parts and what a runner has said to another VM; withdrawn keys, routes in force, orders, planned stops and draining runners are checked all the same.

--- a/standin/soak/check_test.go
+++ b/standin/soak/check_test.go
@@ -151,6 +151,23 @@
 	}
 }
 
+// TestPeerFaultsExcuseLittle guards against faults between entry VMs that excuse promises which each VM keeps by itself.
+func TestPeerFaultsExcuseLittle(t *testing.T) {
+	cut := Fault{Kind: LinkCut, Target: "peer", Start: 12 * time.Second, End: 17 * time.Second}
+	for kind, want := range map[Kind]bool{RunnerDrains: true, RunnerLimited: false} {
+		h := soundHistory()
+		h.Faults = []Fault{cut, {Kind: kind, Target: "runner", Start: 13 * time.Second, End: 13*time.Second + limitTime}}
+		for range 20 {
+			run := h.Records[0].Runs[1]
+			run.Request = "unknown"
+			h.Records[0].Runs = append(h.Records[0].Runs, run)
+		}
+		if broken := Check(h); len(broken) > 0 != want {
+			t.Errorf("%s while an entry VM does not hear the others: reported %v, want a report: %v", kind, broken, want)
+		}
+	}
+}
+
 // TestPlanRepeats guards against a seed that plays other faults the next time.
 func TestPlanRepeats(t *testing.T) {
 	plan := func(seed uint64) []Fault {
@@ -165,6 +182,11 @@
 		t.Error("no fault is added")
 	}
 	all = append(all, added...)
+	peers := PlanPeerFaults(rand.New(rand.NewPCG(9, 3)), 20*time.Second, Sizes{Entries: 3})
+	if len(peers) == 0 {
+		t.Error("no fault between entry VMs")
+	}
+	all = append(all, peers...)
 	restores := []Fault{
 		{Kind: StoreRestored, Target: "store", Start: 30 * time.Second, End: 33 * time.Second},
 		{Kind: StoreRestored, Target: "store", Start: 50 * time.Second, End: 53 * time.Second},
--- a/standin/soak/plan.go
+++ b/standin/soak/plan.go
@@ -61,7 +61,7 @@
 // Fault is a fault of one target, from Start after the start of the load until End.
 type Fault struct {
 	Kind   Kind          `json:"kind"`
-	Target string        `json:"target"` // "entry", "store", "link" or "runner"
+	Target string        `json:"target"` // "entry", "store", "link", "peer" (link of the other VMs to an entry VM) or "runner"
 	Index  int           `json:"index"`  // of the entry VM, the runner, or the link: those to runners come first
 	Start  time.Duration `json:"start"`
 	End    time.Duration `json:"end"`
@@ -81,6 +81,7 @@
 	limitTime    = 6 * time.Second // of RunnerLimited, so that a window of its check fits in
 	leavingTime  = 4 * time.Second // of RunnerLeaves and RunnerDrains
 	addedGap     = 6 * time.Second // the largest time between the starts of two added faults
+	peerFaultGap = 8 * time.Second // the same for faults between entry VMs
 	restoreAge   = 6 * time.Second // the largest time by which the copy is older
 	// restoreOutage is the time for which the store is away before it is restored.
 	restoreOutage = 400 * time.Millisecond
@@ -147,6 +148,21 @@
 	return added
 }
 
+// PlanPeerFaults draws the faults of the links between entry VMs.
+func PlanPeerFaults(r *rand.Rand, duration time.Duration, sizes Sizes) []Fault {
+	var faults []Fault
+	kinds := kindsByTarget["link"]
+	for at := firstFaultAt; at < duration; {
+		at += time.Duration(r.Int64N(int64(peerFaultGap)))
+		f := Fault{Kind: kinds[r.IntN(len(kinds))], Target: "peer", Index: r.IntN(sizes.Entries), Start: at}
+		f.End = at + minFaultTime + time.Duration(r.Int64N(int64(maxFaultTime-minFaultTime)))
+		if f.End < duration && !slices.ContainsFunc(faults, f.overlaps) {
+			faults = append(faults, f)
+		}
+	}
+	return faults
+}
+
 // PlanSuspensions draws entry VMs that are suspended over the returns of the store from an older copy and miss the last change
 // before. They go on once the store has given out again the revisions that they know. An entry VM has one fault at a time.
 func PlanSuspensions(r *rand.Rand, sizes Sizes, others []Fault) []Fault {
--- a/standin/soak/run.go
+++ b/standin/soak/run.go
@@ -45,6 +45,8 @@
 	recoveryProbes = 20
 	// addedStream is the stream of random numbers for PlanAdded; the callers' streams count up from 1.
 	addedStream = 1 << 32
+	// peerStream is the stream for PlanPeerFaults.
+	peerStream = 1<<32 + 30
 	// suspensionStream is the stream for PlanSuspensions.
 	suspensionStream = 1<<32 + 20
 	// stopTimeout is how long an entry VM may take for a planned stop.
@@ -63,6 +65,7 @@
 	sizes := Sizes{Entries: s.Entries, Runners: len(x.deployment.Runners), Links: len(x.proxies)}
 	faults := Plan(random, s.Duration, sizes)
 	faults = append(faults, PlanAdded(rand.New(rand.NewPCG(s.Seed, addedStream)), s.Duration, sizes, faults)...)
+	faults = append(faults, PlanPeerFaults(rand.New(rand.NewPCG(s.Seed, peerStream)), s.Duration, sizes)...)
 	faults = append(faults, PlanSuspensions(rand.New(rand.NewPCG(s.Seed, suspensionStream)), sizes, faults)...)
 	x.callers = &callers{start: time.Now()}
 	for _, e := range x.deployment.Entries {
@@ -103,13 +106,14 @@
 	deployment *deploy.Deployment
 	group      *duty.Group // the proxies
 	proxies    []*Proxy    // of the runners' links, then of the entry VMs' links to the store
+	peerLinks  []*Proxy    // of the other entry VMs' links to an entry VM
 	callers    *callers
 	operator   *operator
 	managers   []*manager // of the entry VMs
 }
 
 func (x *execution) startDeployment() error {
-	spec := deploy.Spec{Binaries: x.Binaries, Dir: x.Dir, Entries: x.Entries, Proxy: x.addProxy}
+	spec := deploy.Spec{Binaries: x.Binaries, Dir: x.Dir, Entries: x.Entries, Proxy: x.addProxy, PeerProxy: x.addPeerProxy}
 	for i := range x.Engines {
 		spec.Runners = append(spec.Runners, runner.Spec{
 			ID: fmt.Sprint("engine-", i), Service: "engines", Zone: "dc-a", Slots: 8, Models: []string{"tulip", "lily"},
@@ -162,6 +166,16 @@
 	return p.Address(), nil
 }
 
+// addPeerProxy starts the proxy of the other entry VMs' links to an entry VM.
+func (x *execution) addPeerProxy(_, address string) (string, error) {
+	p, err := NewProxy(x.group, address)
+	if err != nil {
+		return "", err
+	}
+	x.peerLinks = append(x.peerLinks, p)
+	return p.Address(), nil
+}
+
 // playFaults starts each fault at its time and ends it. In the middle of the run, it withdraws a key; it returns when the
 // store acknowledged that.
 func (x *execution) playFaults(faults []Fault) (revokedAt time.Duration) {
@@ -204,8 +218,8 @@
 		x.setFaults(x.deployment.Store, faults[f.Kind])
 		lasts()
 		x.setFaults(x.deployment.Store, store.Faults{})
-	case "link":
-		p := x.proxies[f.Index]
+	case "link", "peer":
+		p := map[string][]*Proxy{"link": x.proxies, "peer": x.peerLinks}[f.Target][f.Index]
 		p.SetFault(f.Kind)
 		lasts()
 		p.SetFault("")
