Spoil answers of runners in the soak

Change: a fault in which a runner that has run a request writes an earlier refusal, closes in the middle of the head, adds a second answer, or sends a head without end. The plans of added faults share their loop.

--- a/standin/runner/http.go
+++ b/standin/runner/http.go
@@ -120,6 +120,10 @@
 		return
 	}
 	id := req.Header.Get("X-Mangopass-Request-Id")
+	if faults.Garble > 0 && req.Header.Get("Last-Event-Id") == "" {
+		r.garble(w, id, faults.Garble)
+		return
+	}
 	w.Header().Set("X-Mangopass-Request-Id", id)
 	w.Header().Set("X-Mangopass-Response-Seal", "seal."+r.ID+"."+id)
 	if faults.FailResume && req.Header.Get("Last-Event-Id") != "" {
@@ -178,6 +182,7 @@
 	faults := runFaults{r.faults, r.life}
 	r.faults.Reset = max(0, r.faults.Reset-1)
 	r.faults.Hang = max(0, r.faults.Hang-1)
+	r.faults.Garble = max(0, r.faults.Garble-1)
 	r.faults.BreakAfter = 0
 	return faults, len(r.record.Runs) - 1, 0
 }
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -37,6 +37,7 @@
 	Shed       int  `json:"shed"`        // requests that are refused as not executed
 	FailResume bool `json:"fail_resume"` // requests that resume a stream run and are answered 500 with a text
 	Hang       int  `json:"hang"`        // requests that run and are never answered
+	Garble     int  `json:"garble"`      // requests that run and whose answers are spoiled, each in another way than the one before
 	Draining   bool `json:"draining"`    // the runner's entry in the store has the state draining
 	Unlisted   bool `json:"unlisted"`    // the runner's entry in the store is removed; it goes on to serve
 	LateOrders int  `json:"late_orders"` // orders that are carried out a second late and not answered
--- a/standin/soak/check_test.go
+++ b/standin/soak/check_test.go
@@ -182,11 +182,11 @@
 		t.Error("no fault is added")
 	}
 	all = append(all, added...)
-	peers := PlanPeerFaults(rand.New(rand.NewPCG(9, 3)), 20*time.Second, Sizes{Entries: 3})
-	if len(peers) == 0 {
-		t.Error("no fault between entry VMs")
+	later := PlanLater(rand.New(rand.NewPCG(9, 3)), 20*time.Second, Sizes{Entries: 3, Runners: 7}, all)
+	if len(later) == 0 {
+		t.Error("no fault between entry VMs, or of answers")
 	}
-	all = append(all, peers...)
+	all = append(all, later...)
 	restores := []Fault{
 		{Kind: StoreRestored, Target: "store", Start: 30 * time.Second, End: 33 * time.Second},
 		{Kind: StoreRestored, Target: "store", Start: 50 * time.Second, End: 53 * time.Second},
--- a/standin/soak/plan.go
+++ b/standin/soak/plan.go
@@ -37,6 +37,8 @@
 	RunnerSays    Kind = "runner_says_it_leaves" // in its answers; its entry stays as it is
 	RunnerPauses  Kind = "runner_pauses"         // refuses all requests and states a time to come back
 
+	// RunnerGarbles spoils answers: an earlier refusal in their place, heads that are cut off or without end, a second answer.
+	RunnerGarbles Kind = "runner_garbles"
 	// EntryMisses is a suspension in which a key is withdrawn and the store returns from an older copy. Until some seconds
 	// after the VM has gone on, no other manifest follows that would tell it what it has missed.
 	EntryMisses Kind = "entry_misses_change"
@@ -81,7 +83,7 @@
 	limitTime    = 6 * time.Second // of RunnerLimited, so that a window of its check fits in
 	leavingTime  = 4 * time.Second // of RunnerLeaves and RunnerDrains
 	addedGap     = 6 * time.Second // the largest time between the starts of two added faults
-	peerFaultGap = 8 * time.Second // the same for faults between entry VMs
+	laterGap     = 8 * time.Second // the same for faults that were added later
 	restoreAge   = 6 * time.Second // the largest time by which the copy is older
 	// restoreOutage is the time for which the store is away before it is restored.
 	restoreOutage = 400 * time.Millisecond
@@ -131,9 +133,7 @@
 // PlanAdded draws the faults that were added to the soak after seeds had failed. They come from a source of their own, so
 // that the other faults of a seed stay what they were, and don't overlap with those of the same target.
 func PlanAdded(r *rand.Rand, duration time.Duration, sizes Sizes, others []Fault) []Fault {
-	var added []Fault
-	for at := firstFaultAt; at < duration; {
-		at += time.Duration(r.Int64N(int64(addedGap)))
+	return drawFaults(r, addedGap, duration, others, func(at time.Duration) Fault {
 		f := Fault{Kind: []Kind{StoreRestored, RunnerSays, RunnerPauses}[r.IntN(3)], Start: at}
 		switch f.Kind {
 		case StoreRestored:
@@ -141,22 +141,31 @@
 		case RunnerSays, RunnerPauses:
 			f.Target, f.Index, f.End = "runner", r.IntN(sizes.Runners), at+leavingTime
 		}
-		if f.End < duration && !slices.ContainsFunc(append(others, added...), f.overlaps) {
-			added = append(added, f)
-		}
-	}
-	return added
+		return f
+	})
 }
 
-// PlanPeerFaults draws the faults of the links between entry VMs.
-func PlanPeerFaults(r *rand.Rand, duration time.Duration, sizes Sizes) []Fault {
-	var faults []Fault
-	kinds := kindsByTarget["link"]
-	for at := firstFaultAt; at < duration; {
-		at += time.Duration(r.Int64N(int64(peerFaultGap)))
+// PlanLater draws, in the same way, the faults that were added after those: of the links between entry VMs, and of answers.
+func PlanLater(r *rand.Rand, duration time.Duration, sizes Sizes, others []Fault) []Fault {
+	kinds := append(slices.Clone(kindsByTarget["link"]), RunnerGarbles)
+	return drawFaults(r, laterGap, duration, others, func(at time.Duration) Fault {
 		f := Fault{Kind: kinds[r.IntN(len(kinds))], Target: "peer", Index: r.IntN(sizes.Entries), Start: at}
+		if f.Kind == RunnerGarbles {
+			f.Target, f.Index = "runner", r.IntN(sizes.Runners)
+		}
 		f.End = at + minFaultTime + time.Duration(r.Int64N(int64(maxFaultTime-minFaultTime)))
-		if f.End < duration && !slices.ContainsFunc(faults, f.overlaps) {
+		return f
+	})
+}
+
+// drawFaults draws faults, the starts of two of them at most gap apart, and drops those that last too long or overlap with one
+// of the same target.
+func drawFaults(
+	r *rand.Rand, gap, duration time.Duration, others []Fault, draw func(at time.Duration) Fault,
+) (faults []Fault) {
+	for at := firstFaultAt; at < duration; {
+		at += time.Duration(r.Int64N(int64(gap)))
+		if f := draw(at); f.End < duration && !slices.ContainsFunc(append(others, faults...), f.overlaps) {
 			faults = append(faults, f)
 		}
 	}
--- a/standin/soak/run.go
+++ b/standin/soak/run.go
@@ -45,8 +45,8 @@
 	recoveryProbes = 20
 	// addedStream is the stream of random numbers for PlanAdded; the callers' streams count up from 1.
 	addedStream = 1 << 32
-	// peerStream is the stream for PlanPeerFaults.
-	peerStream = 1<<32 + 30
+	// laterStream is the stream for PlanLater.
+	laterStream = 1<<32 + 30
 	// suspensionStream is the stream for PlanSuspensions.
 	suspensionStream = 1<<32 + 20
 	// stopTimeout is how long an entry VM may take for a planned stop.
@@ -65,7 +65,7 @@
 	sizes := Sizes{Entries: s.Entries, Runners: len(x.deployment.Runners), Links: len(x.proxies)}
 	faults := Plan(random, s.Duration, sizes)
 	faults = append(faults, PlanAdded(rand.New(rand.NewPCG(s.Seed, addedStream)), s.Duration, sizes, faults)...)
-	faults = append(faults, PlanPeerFaults(rand.New(rand.NewPCG(s.Seed, peerStream)), s.Duration, sizes)...)
+	faults = append(faults, PlanLater(rand.New(rand.NewPCG(s.Seed, laterStream)), s.Duration, sizes, faults)...)
 	faults = append(faults, PlanSuspensions(rand.New(rand.NewPCG(s.Seed, suspensionStream)), sizes, faults)...)
 	x.callers = &callers{start: time.Now()}
 	for _, e := range x.deployment.Entries {
@@ -225,7 +225,7 @@
 		p.SetFault("")
 	case "runner":
 		faults := map[Kind]runner.Faults{
-			RunnerResets: {Reset: 5, BreakAfter: 3}, RunnerSheds: {Shed: 20}, RunnerHangs: {Hang: 3},
+			RunnerResets: {Reset: 5, BreakAfter: 3}, RunnerGarbles: {Garble: 8}, RunnerSheds: {Shed: 20}, RunnerHangs: {Hang: 3},
 			RunnerLimited: {RateLimit: statedLimit}, RunnerLeaves: {Unlisted: true}, RunnerDrains: {Draining: true},
 			RunnerSays: {Leaving: true}, RunnerPauses: {PauseS: statedPause.Seconds()},
 		}
