End a report to a peer that does not read at its time-out

An entry VM never reported to a peer again if the connection went silent while a report was being written that is larger than its buffers: the peer missed its load, its use of limits, crashes and load requests, and took it for gone. Found by reading, while looking for what a cut between VMs leaves behind; not seen in a play. Cause: net/rpc writes a call before it returns the means to wait for it, so the time-out did not cover the write. Change: the connection has a write deadline for each call. Measured: TestPeerThatDoesNotReadIsGivenUp failed before (the call had not ended 5 s after its time-out of 300 ms) and passes. TestLateReplyIsNotTaken, for replies that come late or twice, passed without a change.

--- a/node/rpclink/rpclink.go
+++ b/node/rpclink/rpclink.go
@@ -23,6 +23,7 @@
 // concurrent use: one duty uses it at a time.
 type Link struct {
 	address string
+	conn    net.Conn
 	client  *rpc.Client
 }
 
@@ -39,7 +40,12 @@
 		if err != nil {
 			return errors.Mark(errors.Wrapf(err, "dial %s", l.address), ErrNotSent)
 		}
-		l.client = rpc.NewClient(conn)
+		l.conn, l.client = conn, rpc.NewClient(conn)
+	}
+	// net/rpc writes the call before Go returns, and a peer that does not read would block it without a deadline.
+	if err := l.conn.SetWriteDeadline(time.Now().Add(timeout)); err != nil {
+		l.Close()
+		return errors.Mark(errors.Wrapf(err, "call %s at %s", method, l.address), ErrNotSent)
 	}
 	call := l.client.Go(method, args, reply, nil)
 	select {
