End the writing to callers that do not read some time after their deadline

A caller that stops reading its stream and keeps the connection open held its place at a runner, and memory, for as long as it liked: the attempt's deadline did not end a write that waits for the caller. Change: each attempt sets a write deadline on the caller's connection, two seconds after its own. net/http lifts it after the request.

--- a/node/entry/callers.go
+++ b/node/entry/callers.go
@@ -102,6 +102,16 @@
 	}
 }
 
+// writeGrace is the time after the deadline of an attempt in which a slow caller can still take what has been sent to it.
+const writeGrace = 2 * time.Second
+
+// limitWrites ends the writing to a caller that does not read, some time after the deadline. The server lifts the limit after
+// the request.
+func (x *exchange) limitWrites(deadline clock.Instant) {
+	end := time.Now().Add(deadline.Sub(clock.Now()) + writeGrace)
+	_ = http.NewResponseController(x.w).SetWriteDeadline(end) // only writers that are no connections know no deadlines
+}
+
 // abortIfIncomplete aborts the caller's connection if part of an answer was sent and the rest failed.
 func (x *exchange) abortIfIncomplete(end attemptEnded) {
 	if end.result != resultServed && x.headWritten {
@@ -137,6 +147,7 @@
 	defer context.AfterFunc(x.cutoff, func() { cancel(errStopping) })()
 	silence := x.startSilenceTimer(a)
 	defer silence.stop()
+	x.limitWrites(a.deadline)
 
 	answer, err := x.runners.Send(ctx, x.payload, platform.Attempt{
 		Runner: a.runner, Address: a.address, Organisation: a.organisation, Remaining: a.deadline.Sub(begin),
