Go on with a term after a restart if its pause was over before

Change: once the pause of a term is over, its leader writes the term's fence to a key of its own that isn't leased; a later process that reads it there goes on at once. Fences are of one era, so a copy or a late write can only bring back older ones, which keep the pause. Measured: TestRestartGoesOnWithBegunTerm fails without the key.

--- a/node/entry/leader.go
+++ b/node/entry/leader.go
@@ -22,6 +22,7 @@
 	claims      *ring.Ring[claim]
 	ownKeysRead bool          // mangopass's own keys in the store have been read
 	leaseEnd    clock.Instant // end of the lease of this VM's keys in the store
+	begun       begunTerms
 	shards      [machine.Shards]shardState
 }
 
@@ -42,6 +43,7 @@
 	continued bool  // this VM gave the orders when the store returned from an older copy, and no other one has led since
 
 	ordersFrom    clock.Instant // earliest moment of an order under the last term that this VM took
+	statedPause   time.Duration // with which that term began, as its holder key states
 	endedFence    int64         // fence of the last term that this VM ended
 	endedAt       clock.Instant
 	releasedFence int64 // fence under which a peer says that it gives no more orders
@@ -104,7 +106,7 @@
 		return
 	}
 	r.endTerm(k, "taken anew", now)
-	previous, ordersFrom := r.previousOrders(s, now)
+	previous, ordersFrom := r.previousOrders(k, s, now)
 	s.leadership.Begin(machine.Term{Holder: r.node, Fence: fence}, ordersFrom, r.leader.leaseEnd)
 	s.termEra, s.continued, s.ordersFrom = s.holderKey.era, false, ordersFrom
 	s.live = new(atomic.Bool)
@@ -116,7 +118,7 @@
 
 // previousOrders returns the leader before the term that this VM claims, as the claim states it, and the earliest moment
 // at which the term may give orders: a pause after the last order that the leader before can have given.
-func (r *routing) previousOrders(s *shardState, now clock.Instant) (previous holderEntry, ordersFrom clock.Instant) {
+func (r *routing) previousOrders(k machine.Shard, s *shardState, now clock.Instant) (previous holderEntry, ordersFrom clock.Instant) {
 	last := s.lastTermAtClaim
 	if last.value != nil {
 		_ = json.Unmarshal(last.value, &previous) // without a readable value, the leader before was another VM
@@ -130,6 +132,8 @@
 		return previous, now
 	case r.isSelf(previous) && previous.Boot == r.boot:
 		return previous, max(now, s.ordersFrom)
+	case r.isSelf(previous) && r.leader.begun.has(k, last):
+		return previous, now
 	case r.isSelf(previous):
 		return previous, now.Add(previous.pause())
 	case s.releasedFence == last.at().Fence():
--- a/node/entry/members.go
+++ b/node/entry/members.go
@@ -173,11 +173,14 @@
 		}
 		clear(r.storedParts)
 		r.era.revision = 0
+		r.applyBegun(ownKeyChange{gone: true})
 	}
 	present := [machine.Shards]bool{}
 	for _, c := range changes {
 		if k, ok := shardOfKey(c.key, prefixLastTerms); ok {
 			r.leader.shards[k].lastTermKey = c
+		} else if c.key == prefixBegun+r.node {
+			r.applyBegun(c)
 		}
 	}
 	for _, c := range changes {
--- a/node/entry/restoredterms_test.go
+++ b/node/entry/restoredterms_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/mangopass/mangopass/duty/clock"
+	"github.com/mangopass/mangopass/duty/ring"
 	"github.com/mangopass/mangopass/fleet/link"
 	"github.com/mangopass/mangopass/fleet/machine"
 )
@@ -20,6 +21,21 @@
 	keys                     map[string]leasedKey
 	leases                   map[int64]clock.Instant // their ends
 	late                     []lateClaim             // not part of its state: calls that are still to be executed
+	lateWrites               []lateWrite             // the same
+}
+
+// lateWrite is a write of a key that isn't leased, which the store executes later.
+type lateWrite struct {
+	write keyWrite
+	at    clock.Instant
+}
+
+// write carries out a write, whatever the era in which its revision was read.
+func (s *simulatedStore) write(w keyWrite) {
+	if s.keys[w.key].revision == w.revision {
+		s.revision++
+		s.keys[w.key] = leasedKey{value: marshal(w.value), revision: s.revision}
+	}
 }
 
 // lateClaim is a claim without an answer that the store executes later.
@@ -45,9 +61,9 @@
 
 // restore returns to a copy of the given age. Its leases run on from the copy, as if no time had passed.
 func (s *simulatedStore) restore(c simulatedStore, age time.Duration) {
-	era, late := s.era+1, s.late
+	era, late, lateWrites := s.era+1, s.late, s.lateWrites
 	*s = c.copyOf()
-	s.era, s.late = era, late
+	s.era, s.late, s.lateWrites = era, late, lateWrites
 	for id, end := range s.leases {
 		s.leases[id] = end.Add(age)
 	}
@@ -62,6 +78,13 @@
 		s.claim(l.claim, l.value, l.lease)
 		return true
 	})
+	s.lateWrites = slices.DeleteFunc(s.lateWrites, func(l lateWrite) bool {
+		if now.Before(l.at) {
+			return false
+		}
+		s.write(l.write)
+		return true
+	})
 	for id, end := range s.leases {
 		if !now.After(end) {
 			continue
@@ -102,7 +125,7 @@
 
 func newSimulatedVM(name string, boot int64, store *simulatedStore, now clock.Instant) *simulatedVM {
 	v := &simulatedVM{harness: newHarnessOf(name, "z", boot), store: store}
-	v.address, v.now = name, now
+	v.address, v.now, v.keyWrites = name, now, ring.New[keyWrite]("keys", 8)
 	return v
 }
 
@@ -125,6 +148,17 @@
 		}
 		v.carryOut(t, c)
 	}
+	v.recordBegunTerms(now)
+	for w, ok := v.keyWrites.TryPop(); ok; w, ok = v.keyWrites.TryPop() {
+		switch outcome := rapid.IntRange(0, 5).Draw(t, "write"); {
+		case v.cut || outcome == 0: // lost
+		case outcome == 1:
+			after := time.Duration(rapid.IntRange(500, 6000).Draw(t, "delay")) * time.Millisecond
+			v.store.lateWrites = append(v.store.lateWrites, lateWrite{write: w, at: now.Add(after)})
+		case w.era == v.store.era:
+			v.store.write(w)
+		}
+	}
 }
 
 func (v *simulatedVM) renew() {
@@ -272,3 +306,48 @@
 		}
 	})
 }
+
+// TestRestartGoesOnWithBegunTerm guards shards against seconds without orders after a restart of their leader, because a pause
+// that was over before the restart is kept once more.
+func TestRestartGoesOnWithBegunTerm(t *testing.T) {
+	for name, c := range map[string]struct {
+		ran  time.Duration // time from the claim to the restart
+		want time.Duration // pause of the next process
+	}{
+		"restarted in the pause": {ran: time.Second, want: 3 * time.Second},
+		"restarted after it":     {ran: 5 * time.Second},
+	} {
+		keys := map[string]ownKeyChange{}
+		claimTerm := func(h *harness) claim {
+			m := storeChanged{sent: h.now, complete: true, manifest: manifestEntry(testManifest(1))}
+			for _, k := range keys {
+				m.ownKeys = append(m.ownKeys, k)
+			}
+			h.apply(m)
+			h.apply(leaseRenewed{until: h.now.Add(time.Hour)})
+			c := h.takeClaim(t, 5*time.Second)
+			value := marshal(holderEntry{Node: "n1", Address: "10.0.0.1:7600", Boot: h.boot, PauseMs: c.pause.Milliseconds()})
+			keys["last"] = ownKeyChange{key: keyLastTerm(3), value: value, revision: 20}
+			h.apply(claimApplied{shard: 3, change: ownKeyChange{key: keyHolder(3), value: value, revision: 20}})
+			return c
+		}
+		h := newHarness()
+		h.keyWrites = ring.New[keyWrite]("keys", 8)
+		keys["last"] = ownKeyChange{key: keyLastTerm(3), value: marshal(holderEntry{Node: "n2", Boot: 7}), revision: 9}
+		if first := claimTerm(h); first.pause != 3*time.Second {
+			t.Fatalf("%s: pause of %v after another leader, want 3 s", name, first.pause)
+		}
+		for end := h.now.Add(c.ran); h.now.Before(end); h.now = h.now.Add(50 * time.Millisecond) {
+			h.recordBegunTerms(h.now)
+			if w, ok := h.keyWrites.TryPop(); ok {
+				keys["begun"] = ownKeyChange{key: w.key, value: marshal(w.value), revision: 30}
+				h.apply(storeChanged{sent: h.now, ownKeys: []ownKeyChange{keys["begun"]}})
+			}
+		}
+		next := newHarnessOf("n1", "z", 2)
+		next.address, next.now = h.address, h.now
+		if got := claimTerm(next).pause; got != c.want {
+			t.Errorf("%s: the next process pauses for %v, want %v", name, got, c.want)
+		}
+	}
+}
--- a/node/entry/routing.go
+++ b/node/entry/routing.go
@@ -140,6 +140,7 @@
 	r.recordSettledEra(now)
 	r.dispatchWaiting(now)
 	r.checkTerms(now)
+	r.recordBegunTerms(now)
 	r.schedule(now)
 	r.sendReports(now)
 	if now.Sub(r.crashesExpiredAt) > crashExpiryPeriod {
--- a/node/entry/terms.go
+++ b/node/entry/terms.go
@@ -102,6 +102,7 @@
 	s.leaderNode, s.leaderBoot = e.Node, e.Boot
 	s.leaderIsSelf = r.isSelf(e)
 	if s.leaderIsSelf && e.Boot == r.boot {
+		s.statedPause = e.pause()
 		r.beginTerm(k, c.at().Fence(), now)
 		return
 	}
@@ -145,9 +146,9 @@
 	if !s.holderKey.gone {
 		c.holderRevision = s.holderKey.revision
 	}
-	previous, ordersFrom := r.previousOrders(s, now)
+	previous, ordersFrom := r.previousOrders(k, s, now)
 	c.pause = max(0, ordersFrom.Sub(now))
-	if r.isSelf(previous) {
+	if r.isSelf(previous) && !r.leader.begun.has(k, s.lastTermAtClaim) {
 		c.pause = max(c.pause, previous.pause())
 	}
 	r.leader.claims.TryPush(c)
@@ -205,7 +206,7 @@
 // forgetKeys forgets what the keys of a former era of the store have shown of the leaders. This VM's own terms go on until
 // their leases have run out: other VMs wait for that.
 func (l *leader) forgetKeys(era int64, now clock.Instant) {
-	l.ownKeysRead, l.leaseEnd = false, 0
+	l.ownKeysRead, l.leaseEnd, l.begun = false, 0, begunTerms{}
 	for k := range l.shards {
 		s := &l.shards[k]
 		s.holderKey, s.holderIsOld = ownKeyChange{gone: true, era: era}, false
