Give the test of late replies more time on a busy machine

Cause: its first call had 50 ms, connection included, which a busy machine can exceed before the call is sent. Change: 300 ms, and a reply that is late by as much; what is checked stays the same.

--- a/node/rpclink/rpclink_test.go
+++ b/node/rpclink/rpclink_test.go
@@ -79,6 +79,7 @@
 // TestLateReplyIsNotTaken guards against a reply that reaches another call than its own: one that comes after its call has
 // timed out, or twice.
 func TestLateReplyIsNotTaken(t *testing.T) {
+	const timeout = 300 * time.Millisecond // of the first call
 	address := listen(t, func(conn net.Conn) {
 		in, out := gob.NewDecoder(conn), gob.NewEncoder(conn)
 		for {
@@ -88,7 +89,7 @@
 				return
 			}
 			if n == 1 {
-				time.Sleep(200 * time.Millisecond)
+				time.Sleep(2 * timeout)
 			}
 			for range 2 {
 				_ = out.Encode(rpc.Response{ServiceMethod: head.ServiceMethod, Seq: head.Seq})
@@ -99,12 +100,12 @@
 	link := New(address)
 	defer link.Close()
 	var got int
-	if err := link.Call(t.Context(), 50*time.Millisecond, "Echo.Number", 1, &got); !errors.Is(err, ErrOutcomeUnknown) {
+	if err := link.Call(t.Context(), timeout, "Echo.Number", 1, &got); !errors.Is(err, ErrOutcomeUnknown) {
 		t.Fatalf("error %v of the call without a reply in time", err)
 	}
 	for n := 2; n <= 9; n++ {
 		if n == 5 {
-			time.Sleep(250 * time.Millisecond) // the late reply has come by now
+			time.Sleep(2 * timeout) // the late reply has come by now
 		}
 		if err := link.Call(t.Context(), 5*time.Second, "Echo.Number", n, &got); err != nil || got != n {
 			t.Errorf("call %d got %d, error %v", n, got, err)
