Name what is known of a copy's revisions, and wrap a long signature

Cause: the field's name was that of a constraint of the language and did not say what can be compared. Change: names and layout only.

--- a/node/entry/leader.go
+++ b/node/entry/leader.go
@@ -118,7 +118,9 @@
 
 // previousOrders returns the leader before the term that this VM claims, as the claim states it, and the earliest moment
 // at which the term may give orders: a pause after the last order that the leader before can have given.
-func (r *routing) previousOrders(k machine.Shard, s *shardState, now clock.Instant) (previous holderEntry, ordersFrom clock.Instant) {
+func (r *routing) previousOrders(
+	k machine.Shard, s *shardState, now clock.Instant,
+) (previous holderEntry, ordersFrom clock.Instant) {
 	last := s.lastTermAtClaim
 	if last.value != nil {
 		_ = json.Unmarshal(last.value, &previous) // without a readable value, the leader before was another VM
--- a/node/entry/storechanges.go
+++ b/node/entry/storechanges.go
@@ -60,7 +60,7 @@
 // knows the revision that the same manifest had in the era before, and the copy can't be of an earlier one.
 func (r *routing) noteWritten(m storeChanged, shown manifestChange) {
 	at := link.Position{Era: m.position.Era, Revision: m.manifest.Revision}
-	moved := shown == manifestSame && r.era.comparable && r.manifestAt.Era == at.Era-1 &&
+	moved := shown == manifestSame && r.era.revisionsKnown && r.manifestAt.Era == at.Era-1 &&
 		r.manifestAt.Revision != at.Revision
 	if shown == manifestOther {
 		return
--- a/node/entry/storeera.go
+++ b/node/entry/storeera.go
@@ -38,8 +38,8 @@
 	unread     bool // no listing has come since the store was restored
 	awaiting   bool // a newer manifest than the one that the store shows is awaited
 
-	shown      int64 // version of the manifest that the store has shown last in the newest era; zero: none
-	comparable bool  // a copy shows no other revisions than those that this VM has read in the era before
+	shown          int64 // version of the manifest that the store has shown last in the newest era; zero: none
+	revisionsKnown bool  // a copy shows no other revisions than those that this VM has read in the era before
 }
 
 // enterEra takes note of the store's era that an answer shows. It returns false if the answer is of an earlier era than
@@ -49,7 +49,7 @@
 		return era == r.era.newest
 	}
 	before := r.era.newest
-	r.era.comparable = before == link.FirstEra || r.freshness.EraSettled() && now.Sub(r.era.beganAt) > maxCopyAge
+	r.era.revisionsKnown = before == link.FirstEra || r.freshness.EraSettled() && now.Sub(r.era.beganAt) > maxCopyAge
 	r.era.newest, r.era.shown = era, 0
 	r.leader.forgetKeys(era, now)
 	if era > link.FirstEra {
