--- a/standin/runner/garble.go
+++ b/standin/runner/garble.go
@@ -7,11 +7,19 @@
 	"strings"
 )
 
+// Ways in which an answer is spoiled.
+const (
+	earlierRefusal = iota // in place of the answer
+	cutOffHead
+	secondAnswer // after the whole one, to another request
+	headWithoutEnd
+	garbleWays // number of them
+)
+
 // endlessHead is the number of bytes of a head without end after which the runner gives up.
 const endlessHead = 4 << 20
 
-// garble spoils the answer to a request that has run, in one of these ways by the number: an earlier refusal comes once more in
-// its place; the connection closes in the middle of the head; another answer follows the whole one; the head has no end.
+// garble spoils the answer to a request that has run, in the way that the number gives, and closes the connection.
 func (r *Runner) garble(w http.ResponseWriter, id string, number int) {
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
@@ -23,21 +31,21 @@
 		_, err := io.WriteString(conn, text)
 		return err == nil
 	}
-	switch number % 4 {
-	case 0:
+	switch number % garbleWays {
+	case earlierRefusal:
 		write("HTTP/1.1 503 Service Unavailable\r\nX-Mangopass-Request-Id: earlier-" + id +
 			"\r\nX-Mangopass-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
-	case 1:
+	case cutOffHead:
 		write(head[:len(head)-len(id)/2])
-	case 2:
+	case secondAnswer:
 		body := fmt.Sprintf("%s answers %s\n", r.ID, id)
 		if r.Engine {
 			head += "Content-Type: text/event-stream\r\n"
-			body = eventsAfter(0, r.Events)
+			body = eventsTo(r.Events)
 		}
 		whole := head + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body)
 		write(whole + strings.ReplaceAll(whole, id, "earlier-"+id))
-	case 3:
+	case headWithoutEnd:
 		line := "X-Fill: " + strings.Repeat("x", 1<<10) + "\r\n"
 		for n := 0; n < endlessHead && write(line); n += len(line) {
 			continue
@@ -45,10 +53,10 @@
 	}
 }
 
-// eventsAfter returns the events of a stream after one of them, up to the last.
-func eventsAfter(first, last int) string {
+// eventsTo returns the events of a stream up to the last.
+func eventsTo(last int) string {
 	var events strings.Builder
-	for i := first + 1; i <= last; i++ {
+	for i := 1; i <= last; i++ {
 		fmt.Fprintf(&events, "id: %d\ndata: token %d\n\n", i, i)
 	}
 	return events.String()
