--- /dev/null
+++ b/cmd/processtest/versions_test.go
@@ -0,0 +1,296 @@
+package processtest
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/mangopass/mangopass/standin/deploy"
+	"github.com/mangopass/mangopass/standin/runner"
+)
+
+// startVersions starts entry VMs and engines with the model tulip, one for each of the given software versions.
+func startVersions(t *testing.T, entries int, versions ...string) *deploy.Deployment {
+	t.Helper()
+	spec := deploy.Spec{Binaries: binaries, Dir: t.TempDir(), Entries: entries}
+	for i, version := range versions {
+		engine := engineSpec(fmt.Sprint("engine-", i), "tulip")
+		engine.Version, engine.Events, engine.TokenTime = version, 40, 20*time.Millisecond
+		spec.Runners = append(spec.Runners, engine)
+	}
+	d, err := deploy.Start(spec)
+	t.Cleanup(func() {
+		d.Stop()
+		if t.Failed() {
+			for _, e := range d.Entries {
+				t.Logf("%s:\n%s", e.Name, tail(e.Log(), 60))
+			}
+		}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := d.PutManifest(t.Context(), manifest(1, callerKey)); err != nil {
+		t.Fatal(err)
+	}
+	if err := d.AwaitReady(); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(versionSettling)
+	return d
+}
+
+// versionSettling is the time after which runners of a new software version must serve new streams.
+const versionSettling = 4 * time.Second
+
+// interruptedStream is a stream that a caller has stopped reading before its end.
+type interruptedStream struct {
+	id        string
+	lastEvent string
+}
+
+// beginStream sends a stream request and reads at least the given number of events, then it closes the connection, unless
+// that breaks off before.
+func beginStream(t *testing.T, e *deploy.Entry, id string, events int, interrupt func()) interruptedStream {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 8*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.Callers+"/chat/x", strings.NewReader("hello"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "coop.example"
+	for name, value := range map[string]string{
+		"X-Mangopass-Request-Id": id, "Api-Key": callerKey, "X-Mangopass-Model": "tulip",
+		"X-Mangopass-Token-Count": "40,24", "X-Mangopass-Deadline": "8000",
+	} {
+		req.Header.Set(name, value)
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		t.Fatalf("%s: %v", id, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		t.Fatalf("%s: status %d", id, resp.StatusCode)
+	}
+	var text strings.Builder
+	buffer := make([]byte, 256)
+	for strings.Count(text.String(), "\n\n") < events {
+		n, err := resp.Body.Read(buffer)
+		text.Write(buffer[:n])
+		if err != nil {
+			t.Fatalf("%s: %v after %q", id, err, text.String())
+		}
+	}
+	if interrupt != nil {
+		interrupt()
+		rest, _ := io.ReadAll(resp.Body) // fails, since the connection breaks off
+		text.Write(rest)
+	}
+	whole := text.String()[:strings.LastIndex(text.String(), "\n\n")]
+	last := whole[strings.LastIndex(whole, "id: ")+len("id: "):]
+	return interruptedStream{id: id, lastEvent: strings.TrimSpace(last[:strings.Index(last, "\n")])}
+}
+
+// takeUp sends the request of an interrupted stream again, so that it goes on after its last event.
+func (s interruptedStream) takeUp(t *testing.T, e *deploy.Entry, id string) response {
+	t.Helper()
+	return call(t, t.Context(), e.Callers, request{
+		method: http.MethodPost, path: "/chat/x", model: "tulip", id: id, body: "hello", deadlineMs: 8000,
+		header: map[string]string{"Last-Event-Id": s.lastEvent, "Resumes": s.id},
+	})
+}
+
+// versionsOf returns the software versions that ran any of the requests.
+func versionsOf(t *testing.T, d *deploy.Deployment, ids ...string) map[string]bool {
+	t.Helper()
+	out := make(map[string]bool)
+	for _, id := range ids {
+		for _, run := range runsOf(t, d, id) {
+			out[run.Version] = true
+		}
+	}
+	return out
+}
+
+// wantWhole checks that a take-up has sent the rest of the stream.
+func (s interruptedStream) wantWhole(t *testing.T, got response, events int) bool {
+	t.Helper()
+	last, err := strconv.Atoi(s.lastEvent)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return got.status == http.StatusOK && got.err == nil && strings.Count(got.body, "\n\n") == events-last
+}
+
+// wantNotRun checks that a take-up was refused at once, as one that has not run.
+func wantNotRun(t *testing.T, d *deploy.Deployment, got response, id string) {
+	t.Helper()
+	if got.status != http.StatusServiceUnavailable || len(runsOf(t, d, id)) != 0 {
+		t.Errorf("%s: got %+v with %d runs, want 503 without a run", id, got, len(runsOf(t, d, id)))
+	}
+}
+
+// TestBrokenStreamGoesOnAtItsVersion guards against an answer that holds events of two software versions of a service: each
+// runner breaks off the streams that it begins.
+func TestBrokenStreamGoesOnAtItsVersion(t *testing.T) {
+	d := startVersions(t, 1, "v1", "v2", "v1", "v2")
+	whole, began := 0, make(map[string]bool)
+	for i := range 16 {
+		for _, r := range d.Runners {
+			if err := d.SetFaults(t.Context(), r.Address, runner.Faults{BreakAfter: 3}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		id := fmt.Sprint("join-", i)
+		got := call(t, t.Context(), d.Entries[0].Callers, request{
+			method: "POST", path: "/chat/x", model: "tulip", id: id, deadlineMs: 8000,
+		})
+		versions := versionsOf(t, d, id)
+		if len(versions) > 1 {
+			t.Errorf("%s: runs at %v", id, versions)
+		}
+		for v := range versions {
+			began[v] = true
+		}
+		if got.err == nil && got.status == http.StatusOK {
+			whole++
+			wantEvents(t, got.body, 40)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	t.Logf("%d of 16 whole, begun at %v", whole, began)
+}
+
+// TestStreamIsTakenUpAtItsVersion guards against take-ups at another VM that go on at another software version than the one
+// that began the stream, and against refusing them.
+func TestStreamIsTakenUpAtItsVersion(t *testing.T) {
+	d := startVersions(t, 2, "v1", "v2", "v1", "v2")
+	began := make(map[string]bool)
+	for i := range 16 {
+		id := fmt.Sprint("begun-", i)
+		s := beginStream(t, d.Entries[i%2], id, 3, nil)
+		again := fmt.Sprint("again-", i)
+		got := s.takeUp(t, d.Entries[(i/2)%2], again)
+		versions := versionsOf(t, d, id, again)
+		if len(versions) != 1 || !s.wantWhole(t, got, 40) {
+			t.Errorf("%s: got %+v at %v", id, got, versions)
+		}
+		for v := range versions {
+			began[v] = true
+		}
+	}
+	if len(began) != 2 {
+		t.Errorf("streams began at %v, want both versions", began)
+	}
+}
+
+// TestStreamsGoOnAtTheirVersionAfterAllVMsEnd guards against joined streams when no VM is left that has seen which version
+// began them.
+func TestStreamsGoOnAtTheirVersionAfterAllVMsEnd(t *testing.T) {
+	d := startVersions(t, 2, "v1", "v2", "v1", "v2")
+	const streams = 12
+	begun := make([]interruptedStream, streams)
+	for i := range streams {
+		begun[i] = beginStream(t, d.Entries[i%2], fmt.Sprint("begun-", i), 3, nil)
+	}
+	for _, e := range d.Entries {
+		e.Signal(syscall.SIGKILL)
+	}
+	for _, e := range d.Entries {
+		if _, err := e.Wait(5 * time.Second); err != nil {
+			t.Fatal(err)
+		}
+		if err := d.Restart(e); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := d.AwaitReady(); err != nil {
+		t.Fatal(err)
+	}
+	whole, began := 0, make(map[string]bool)
+	for i, s := range begun {
+		again := fmt.Sprint("again-", i)
+		got := s.takeUp(t, d.Entries[i%2], again)
+		versions := versionsOf(t, d, s.id, again)
+		if len(versions) != 1 {
+			t.Errorf("%s: got status %d, runs at %v", s.id, got.status, versions)
+		}
+		for v := range versionsOf(t, d, s.id) {
+			began[v] = true
+		}
+		if s.wantWhole(t, got, 40) {
+			whole++
+		}
+	}
+	if whole < streams/2 || len(began) != 2 {
+		t.Errorf("%d of %d streams went on, begun at %v; want half of them at least, of both versions", whole, streams, began)
+	}
+}
+
+// TestStreamOfAVersionThatLeftIsRefused guards against take-ups that go on at the version that is left.
+func TestStreamOfAVersionThatLeftIsRefused(t *testing.T) {
+	d := startVersions(t, 2, "v1", "v2")
+	var begun []interruptedStream
+	for i := range 8 {
+		begun = append(begun, beginStream(t, d.Entries[i%2], fmt.Sprint("begun-", i), 3, nil))
+	}
+	if err := d.SetFaults(t.Context(), d.Runners[0].Address, runner.Faults{Unlisted: true}); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(2 * time.Second) // until its entry is removed
+	refused := 0
+	for i, s := range begun {
+		again := fmt.Sprint("again-", i)
+		got := s.takeUp(t, d.Entries[(i/2)%2], again)
+		if versionsOf(t, d, s.id)["v1"] {
+			refused++
+			wantNotRun(t, d, got, again)
+		} else if !s.wantWhole(t, got, 40) {
+			t.Errorf("%s: got %+v, want the rest of the stream from v2", s.id, got)
+		}
+	}
+	if refused == 0 {
+		t.Error("no stream began at v1")
+	}
+}
+
+// TestReleasedRunnerDoesNotGoOnWithItsOldStreams guards against a runner that goes on with a stream under its ID after it has
+// started again with another software version.
+func TestReleasedRunnerDoesNotGoOnWithItsOldStreams(t *testing.T) {
+	d := startVersions(t, 2, "v1")
+	s := beginStream(t, d.Entries[0], "begun", 3, func() {
+		if err := d.SetFaults(t.Context(), d.Runners[0].Address, runner.Faults{Release: "v2"}); err != nil {
+			t.Fatal(err)
+		}
+	})
+	for i := range 8 {
+		again := fmt.Sprint("again-", i)
+		got := s.takeUp(t, d.Entries[i%2], again)
+		if versionsOf(t, d, again)["v2"] {
+			t.Errorf("%s: got %+v from v2, begun by v1", again, got)
+		}
+		time.Sleep(400 * time.Millisecond)
+	}
+}
+
+// TestTakeUpOfUnknownStream guards against harm by take-ups that name no stream of their caller.
+func TestTakeUpOfUnknownStream(t *testing.T) {
+	d := startVersions(t, 2, "v1", "v2")
+	for i, resumes := range []string{"never-sent", "", strings.Repeat("x", 4000), "../op/config", "begun\r\n"} {
+		got := call(t, t.Context(), d.Entries[i%2].Callers, request{
+			method: http.MethodPost, path: "/chat/x", model: "tulip", id: fmt.Sprint("odd-", i), deadlineMs: 3000,
+			header: map[string]string{"Last-Event-Id": "3", "Resumes": strings.TrimSpace(resumes)},
+		})
+		if got.status != http.StatusOK && got.status != http.StatusServiceUnavailable {
+			t.Errorf("%q: got %+v", resumes, got)
+		}
+	}
+}
--- a/standin/runner/http.go
+++ b/standin/runner/http.go
@@ -177,7 +177,7 @@
 	r.running++
 	r.record.Runs = append(r.record.Runs, Run{
 		Request: h.Get("X-Mangopass-Request-Id"), Tenant: h.Get("X-Mangopass-Tenant"), Model: model,
-		Prompt: h.Get(headerPrompt), LastEvent: h.Get("Last-Event-Id"), Key: h.Get("Api-Key"), Body: body, At: time.Now(),
+		Version: r.Version, Prompt: h.Get(headerPrompt), LastEvent: h.Get("Last-Event-Id"), Key: h.Get("Api-Key"), Body: body, At: time.Now(),
 	})
 	faults := runFaults{r.faults, r.life}
 	r.faults.Reset = max(0, r.faults.Reset-1)
@@ -225,6 +225,10 @@
 		return
 	}
 	r.faults = f
+	if f.Release != "" && f.Release != r.Version {
+		r.Version = f.Release
+		r.restart()
+	}
 }
 
 func (r *Runner) serveRecord(w http.ResponseWriter, _ *http.Request) {
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -4,6 +4,7 @@
 package runner
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"strings"
@@ -15,6 +16,7 @@
 type Spec struct {
 	ID           string
 	Service      string
+	Version      string // of the runner's software; empty: v1
 	Address      string // IP:port
 	Announced    string // address in the runner's entry; empty: Address
 	Zone         string
@@ -42,6 +44,9 @@
 	Unlisted   bool `json:"unlisted"`    // the runner's entry in the store is removed; it goes on to serve
 	LateOrders int  `json:"late_orders"` // orders that are carried out a second late and not answered
 
+	// Release is the version of the software with which the runner starts again under its ID. Empty: it runs on.
+	Release string `json:"release"`
+
 	// CrashPart is the ID of a prompt part, as callers write it. The runner crashes when it begins to answer a request
 	// with the part, and starts again with the models of its spec. Empty: none.
 	CrashPart string `json:"crash_part"`
@@ -61,6 +66,7 @@
 	Request   string    `json:"request"`
 	Tenant    string    `json:"tenant"`
 	Model     string    `json:"model"`
+	Version   string    `json:"version"`    // of the runner's software
 	Prompt    string    `json:"prompt"`     // X-Mangopass-Prompt-Prefix
 	LastEvent string    `json:"last_event"` // Last-Event-Id of the request: the stream resumes after this event
 	Key       string    `json:"key"`        // the caller's key; must be empty, as keys may not reach a runner
@@ -117,6 +123,7 @@
 // New returns a runner that holds the models of its spec.
 func New(s Spec) *Runner {
 	r := &Runner{Spec: s}
+	r.Version = cmp.Or(s.Version, "v1")
 	r.start()
 	return r
 }
@@ -137,6 +144,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.record.CrashedAt = append(r.record.CrashedAt, time.Now())
+	r.restart()
+}
+
+// restart ends the process and starts the next one. The caller holds the lock.
+func (r *Runner) restart() {
 	r.endLife()
 	r.start()
 }
@@ -250,7 +262,7 @@
 		state = "draining"
 	}
 	out := map[string]any{
-		"service": r.Service, "address": address, "zone": r.Zone, "version": "v1", "slots": r.Slots, "state": state,
+		"service": r.Service, "address": address, "zone": r.Zone, "version": r.Version, "slots": r.Slots, "state": state,
 		"cold_left_ms": 0, "sequence": r.heartbeats, "born": r.startedMs,
 	}
 	if r.Engine {
