--- a/fleet/contract/manifest.go
+++ b/fleet/contract/manifest.go
@@ -138,6 +138,18 @@
 	return out
 }
 
+// ServesResumableStreams reports whether a route sends resumable streams to a service.
+func (m *Manifest) ServesResumableStreams(s ServiceName) bool {
+	for _, hostRoutes := range m.routes {
+		for _, r := range hostRoutes {
+			if r.ResumableStream() && r.HasBackend(s) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Owner returns the organisation to which a key belongs, or nil.
 func (m *Manifest) Owner(k KeyHash) *Organisation { return m.owners[k] }
 
--- a/fleet/contract/request.go
+++ b/fleet/contract/request.go
@@ -28,6 +28,8 @@
 	MaxTokens    int
 	Counted      bool         // PromptTokens and MaxTokens are known
 	Prompt       []PromptPart // in the order of the prompt
+	LastEvent    string       // ID of the last event that the caller has of a stream that it takes up; empty: it begins one
+	Resumes      string       // ID of the request that brought the first event of that stream; empty: not stated
 	Digest       uint64       // hash of method, path, query, key and body; equal if the caller sends the request again
 }
 
--- a/fleet/contract/route.go
+++ b/fleet/contract/route.go
@@ -1,6 +1,9 @@
 package contract
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Names of the objects in a manifest.
 type (
@@ -56,6 +59,14 @@
 // Repeatable reports whether a request of the route may run more than once.
 func (r *Route) Repeatable() bool { return r.Kind == Safe || r.Kind == Stream && r.Resumable }
 
+// ResumableStream reports whether answers of the route are streams that may go on at another runner.
+func (r *Route) ResumableStream() bool { return r.Kind == Stream && r.Resumable }
+
+// HasBackend reports whether requests of the route may go to a service.
+func (r *Route) HasBackend(s ServiceName) bool {
+	return slices.ContainsFunc(r.Backends, func(b Backend) bool { return b.Service == s && b.Weight > 0 })
+}
+
 // Backend chooses a service by weight; point is a uniformly distributed number from 0 to 1.
 func (r *Route) Backend(point float64) ServiceName {
 	total := 0
--- a/fleet/link/table.go
+++ b/fleet/link/table.go
@@ -17,8 +17,10 @@
 	Prompt       []contract.PromptPart // parts that other requests may share, from the start of the prompt
 	From         zone.ID               // zone of this entry VM
 	Exclude      []machine.RunnerID    // runners at which this request has failed
-	Left         time.Duration         // time left until the first event is late
-	Waited       bool                  // the request has waited for a replica, or for a runner at its rate limit
+	// Serves reports whether runners of a software version may serve the request; nil: all.
+	Serves func(machine.SoftwareVersion) bool
+	Left   time.Duration // time left until the first event is late
+	Waited bool          // the request has waited for a replica, or for a runner at its rate limit
 }
 
 // Choice is a runner for a request, with the expected times there.
@@ -247,6 +249,9 @@
 		if r.Service != req.Artifact.Service || !r.Usable(now) || excluded(req.Exclude, r.ID) {
 			continue
 		}
+		if req.Serves != nil && !req.Serves(r.Version) {
+			continue
+		}
 		if req.Artifact.Model != "" && !r.Replica(req.Artifact.Model).Ready(req.Artifact.Adapter, now) {
 			continue
 		}
--- a/fleet/machine/adapters.go
+++ b/fleet/machine/adapters.go
@@ -23,13 +23,13 @@
 
 // placeAdapters starts the loads of adapters that requests wait for and that no replica of their model has.
 func (s *Scheduler) placeAdapters(now clock.Instant, plan *Plan) {
-	var wanted []Artifact
+	var wanted []Need
 	for a, d := range s.demands {
 		if a.Adapter != "" && len(d.waiting) > 0 {
 			wanted = append(wanted, a)
 		}
 	}
-	slices.SortFunc(wanted, func(a, b Artifact) int {
+	slices.SortFunc(wanted, func(a, b Need) int {
 		return cmp.Or(cmp.Compare(a.Model, b.Model), cmp.Compare(a.Adapter, b.Adapter))
 	})
 	for _, a := range wanted {
@@ -40,11 +40,11 @@
 // placeAdapter starts the load of an adapter, unless a runner has it or is about to load it. Of the idle runners with a
 // ready replica of the model it chooses the one with the least prefill time queued; where another adapter must be
 // unloaded first, adapterLoadTime is added to that.
-func (s *Scheduler) placeAdapter(a Artifact, now clock.Instant, plan *Plan) {
+func (s *Scheduler) placeAdapter(a Need, now clock.Instant, plan *Plan) {
 	var best *Runner
 	lowest := math.Inf(1)
 	for _, r := range s.fleet.All() {
-		if r.Service != a.Service || s.engine(r) == nil || !r.Usable(now) {
+		if r.Service != a.Service || !a.Serves(r) || s.engine(r) == nil || !r.Usable(now) {
 			continue
 		}
 		replica := r.Replica(a.Model)
@@ -58,7 +58,7 @@
 			continue
 		}
 		cost := s.usage.Queued(r.ID).Seconds()
-		if !s.adapterFits(r, a) {
+		if !s.adapterFits(r, a.Artifact) {
 			if _, ok := s.leastUsedAdapter(r, now); !ok {
 				continue
 			}
@@ -72,7 +72,7 @@
 		return
 	}
 	request := LoadRequest{Runner: best.ID, Boot: best.Boot, Model: a.Model, Adapter: a.Adapter}
-	if !s.adapterFits(best, a) {
+	if !s.adapterFits(best, a.Artifact) {
 		request.Victim, _ = s.leastUsedAdapter(best, now)
 	}
 	s.start(request, now, plan)
@@ -116,8 +116,11 @@
 			if readyAt.Add(minLoadedTime).After(now) || s.usage.Running(Place{r.ID, a}) > 0 {
 				continue
 			}
+			if d := s.demands[Need{a, r.Version}]; d != nil && r.Version != "" && len(d.waiting) > 0 {
+				continue
+			}
 			value := 0.0
-			if d := s.demands[a]; d != nil {
+			if d := s.demands[Need{Artifact: a}]; d != nil {
 				value = d.arrivals
 				if len(d.waiting) > 0 {
 					continue
--- a/fleet/machine/demand.go
+++ b/fleet/machine/demand.go
@@ -15,6 +15,18 @@
 	Adapter contract.AdapterName // empty: the model itself
 }
 
+// Need is an artifact that requests ask for: of any runner or, to go on with streams, of one with a software version.
+type Need struct {
+	Artifact
+	Version SoftwareVersion // empty: any
+}
+
+// Base returns the need without the adapter.
+func (n Need) Base() Need { return Need{n.Artifact.Base(), n.Version} }
+
+// Serves reports whether the version of a runner's software meets the need.
+func (n Need) Serves(r *Runner) bool { return n.Version == "" || n.Version == r.Version }
+
 // Base returns the model of the artifact, without the adapter.
 func (a Artifact) Base() Artifact { return Artifact{Service: a.Service, Model: a.Model} }
 
@@ -29,13 +41,14 @@
 // DemandReport is the demand for one artifact at one entry VM since its last report.
 type DemandReport struct {
 	Artifact Artifact
-	Waiting  int           // requests that wait for a replica now
-	Timely   int           // of those, requests that can still meet their latency objective
-	Due      time.Duration // time left until the first of these must be sent
-	Held     int           // of the waiting requests, those whose runners want no request for longer than a load takes
-	Arrivals int           // requests since the last report
-	Urgent   int           // of the arrivals, requests that cannot wait for a load
-	Work     time.Duration // prefill time of the arrivals
+	Version  SoftwareVersion // that the requests need; empty: any
+	Waiting  int             // requests that wait for a replica now
+	Timely   int             // of those, requests that can still meet their latency objective
+	Due      time.Duration   // time left until the first of these must be sent
+	Held     int             // of the waiting requests, those whose runners want no request for longer than a load takes
+	Arrivals int             // requests since the last report
+	Urgent   int             // of the arrivals, requests that cannot wait for a load
+	Work     time.Duration   // prefill time of the arrivals
 }
 
 // demand is the demand of all entry VMs for one artifact.
@@ -77,6 +90,9 @@
 	d.setWaiting(node, report.queue(now), now)
 }
 
+// Need returns what the requests of the report ask for.
+func (d DemandReport) Need() Need { return Need{d.Artifact, d.Version} }
+
 // queue returns the waiting requests of a report.
 func (d DemandReport) queue(now clock.Instant) queue {
 	return queue{requests: d.Waiting, timely: d.Timely, due: now.Add(d.Due), held: d.Held}
--- a/fleet/machine/demandbook.go
+++ b/fleet/machine/demandbook.go
@@ -5,31 +5,32 @@
 // DemandBook collects the demand that a VM reports towards the planner: its own, and that of the VMs for which it
 // relays.
 type DemandBook struct {
-	arrivals map[Artifact]*DemandReport    // since the last Take; nothing waits in them
-	below    map[string]map[Artifact]queue // requests that wait at the VMs below, by their names
+	arrivals map[Need]*DemandReport    // since the last Take; nothing waits in them
+	below    map[string]map[Need]queue // requests that wait at the VMs below, by their names
 }
 
 // WaitingRequest is a request that waits for a replica at this VM.
 type WaitingRequest struct {
 	Artifact Artifact
-	Due      clock.Instant // latest instant to send it, so that it meets its latency objective
+	Version  SoftwareVersion // of the runner's software, which a stream goes on at; empty: any
+	Due      clock.Instant   // latest instant to send it, so that it meets its latency objective
 	// HeldUntil is when the first runner with the artifact takes requests again; zero: no runner has it.
 	HeldUntil clock.Instant
 }
 
 // NewDemandBook returns an empty book.
 func NewDemandBook() *DemandBook {
-	return &DemandBook{arrivals: make(map[Artifact]*DemandReport), below: make(map[string]map[Artifact]queue)}
+	return &DemandBook{arrivals: make(map[Need]*DemandReport), below: make(map[string]map[Need]queue)}
 }
 
 // Arrived counts a request at this VM.
 func (b *DemandBook) Arrived(d DemandReport) { b.add(d) }
 
 func (b *DemandBook) add(d DemandReport) {
-	sum := b.arrivals[d.Artifact]
+	sum := b.arrivals[d.Need()]
 	if sum == nil {
-		sum = &DemandReport{Artifact: d.Artifact}
-		b.arrivals[d.Artifact] = sum
+		sum = &DemandReport{Artifact: d.Artifact, Version: d.Version}
+		b.arrivals[d.Need()] = sum
 	}
 	sum.Arrivals += d.Arrivals
 	sum.Urgent += d.Urgent
@@ -38,13 +39,13 @@
 
 // Merge applies the report of a VM below. No request waits there for an artifact that it leaves out.
 func (b *DemandBook) Merge(node string, reports []DemandReport, now clock.Instant) {
-	queues := make(map[Artifact]queue)
+	queues := make(map[Need]queue)
 	for _, d := range reports {
 		if d.Arrivals > 0 {
 			b.add(d)
 		}
 		if d.Waiting > 0 {
-			queues[d.Artifact] = d.queue(now)
+			queues[d.Need()] = d.queue(now)
 		}
 	}
 	b.below[node] = queues
@@ -55,21 +56,22 @@
 
 // Take returns the demand since the last call and the requests that wait now, those of this VM among them.
 func (b *DemandBook) Take(own []WaitingRequest, now clock.Instant) []DemandReport {
-	waiting := make(map[Artifact]queue)
+	waiting := make(map[Need]queue)
 	for _, w := range own {
-		waiting[w.Artifact] = waiting[w.Artifact].plus(w.queue(now))
+		need := Need{w.Artifact, w.Version}
+		waiting[need] = waiting[need].plus(w.queue(now))
 	}
 	for _, queues := range b.below {
-		for a, q := range queues {
-			waiting[a] = waiting[a].plus(q)
+		for need, q := range queues {
+			waiting[need] = waiting[need].plus(q)
 		}
 	}
-	for a := range waiting {
-		b.add(DemandReport{Artifact: a})
+	for need := range waiting {
+		b.add(DemandReport{Artifact: need.Artifact, Version: need.Version})
 	}
 	out := make([]DemandReport, 0, len(b.arrivals))
-	for a, d := range b.arrivals {
-		q := waiting[a]
+	for need, d := range b.arrivals {
+		q := waiting[need]
 		d.Waiting, d.Timely, d.Held = q.requests, q.timely, q.held
 		if q.timely > 0 {
 			d.Due = max(0, q.due.Sub(now))
--- a/fleet/machine/evict.go
+++ b/fleet/machine/evict.go
@@ -71,6 +71,10 @@
 		if demand.waiting > 0 && demand.replicas <= 1 {
 			continue
 		}
+		pinned := s.versionDemand(Artifact{Service: r.Service, Model: name}, r)
+		if pinned != nil && pinned.waiting > 0 && pinned.replicas <= 1 {
+			continue
+		}
 		m := e.Models[name]
 		c := candidate{
 			name: name, mb: replicaMB(replica, e), value: s.replicaValue(r, m),
--- a/fleet/machine/loads.go
+++ b/fleet/machine/loads.go
@@ -12,28 +12,29 @@
 
 // desiredLoad is a model of which one more replica is worth a load.
 type desiredLoad struct {
-	artifact Artifact
-	gain     float64 // worth of the replica, in requests; see modelDemand.gain
-	rank     float64 // priority; see modelDemand.rank
+	need Need
+	gain float64 // worth of the replica, in requests; see modelDemand.gain
+	rank float64 // priority; see modelDemand.rank
 }
 
 // placeModels starts the loads that the demand justifies, those of the highest rank first.
 func (s *Scheduler) placeModels(now clock.Instant, plan *Plan) {
 	clear(s.reserved)
 	var loads []desiredLoad
-	for a, demand := range s.modelDemands {
+	for need, demand := range s.modelDemands {
 		if gain := demand.gain(now); gain > 0 {
-			loads = append(loads, desiredLoad{a, gain, demand.rank(now)})
+			loads = append(loads, desiredLoad{need, gain, demand.rank(now)})
 		}
 	}
 	slices.SortFunc(loads, func(a, b desiredLoad) int {
-		return cmp.Or(cmp.Compare(b.rank, a.rank), cmp.Compare(a.artifact.Model, b.artifact.Model))
+		return cmp.Or(cmp.Compare(b.rank, a.rank), cmp.Compare(a.need.Model, b.need.Model),
+			cmp.Compare(a.need.Version, b.need.Version))
 	})
 	if len(s.demands) == 0 {
 		s.prewarm(now, plan)
 	}
 	for _, l := range loads {
-		s.placeModel(l.artifact, l.gain, now, plan)
+		s.placeModel(l.need, l.gain, now, plan)
 	}
 }
 
@@ -47,7 +48,7 @@
 		for _, name := range slices.Sorted(maps.Keys(service.Engine.Models)) {
 			a := Artifact{Service: service.Name, Model: name}
 			if !s.hasCopy(a) && s.modelDemand(a).replicas == 0 {
-				s.placeModel(a, prewarmGain, now, plan)
+				s.placeModel(Need{Artifact: a}, prewarmGain, now, plan)
 			}
 		}
 	}
@@ -85,7 +86,7 @@
 
 // Delay says that requests wait for a model that is not loaded now, and why.
 type Delay struct {
-	Artifact Artifact
+	Need
 	Obstacle Obstacle
 	Runner   RunnerID // the best runner; empty: none
 	Gain     float64  // of the load, in requests
@@ -97,21 +98,21 @@
 
 // reportDelay adds the reason why a model is not loaded to the plan, once in each delayReportPeriod.
 func (s *Scheduler) reportDelay(d Delay, now clock.Instant, plan *Plan) {
-	if s.modelDemand(d.Artifact).waiting == 0 {
+	if s.demandFor(d.Need).waiting == 0 {
 		return
 	}
-	if last, ok := s.delayReportedAt[d.Artifact]; ok && now.Sub(last) < delayReportPeriod {
+	if last, ok := s.delayReportedAt[d.Need]; ok && now.Sub(last) < delayReportPeriod {
 		return
 	}
-	s.delayReportedAt[d.Artifact] = now
+	s.delayReportedAt[d.Need] = now
 	plan.Delays = append(plan.Delays, d)
 }
 
 // placeModel starts a load of a model, with the unloads before it, at the runner of the least cost. Runners where the
 // unloads lose as much as the load gains are left out. If the best runner is busy, the model waits for it.
-func (s *Scheduler) placeModel(a Artifact, gain float64, now clock.Instant, plan *Plan) {
+func (s *Scheduler) placeModel(a Need, gain float64, now clock.Instant, plan *Plan) {
 	var best loadTarget
-	delay := Delay{Artifact: a, Gain: gain}
+	delay := Delay{Need: a, Gain: gain}
 	for _, r := range s.fleet.All() {
 		target, obstacle := s.evaluateTarget(r, a, gain, now)
 		if obstacle > delay.Obstacle {
@@ -131,11 +132,11 @@
 		if m := s.engine(best.runner).Models[a.Model]; s.loadTime(best.runner, m) == m.LoadCold {
 			s.addColdLoad(best.runner, a.Model, now)
 		}
-		s.modelDemand(a).addReplica(best.runner)
+		s.addReplica(best.runner, a.Model)
 	default:
 		s.reserved[best.runner.ID]++
 		s.reportDelay(
-			Delay{Artifact: a, Obstacle: RunnerBusy, Runner: best.runner.ID, Gain: gain, Lost: best.lost}, now, plan)
+			Delay{Need: a, Obstacle: RunnerBusy, Runner: best.runner.ID, Gain: gain, Lost: best.lost}, now, plan)
 	}
 }
 
@@ -151,9 +152,9 @@
 
 // evaluateTarget estimates what a load of a model at a runner costs and whether it can start now. The obstacle is
 // NoObstacle if the load can start there, now or later.
-func (s *Scheduler) evaluateTarget(r *Runner, a Artifact, gain float64, now clock.Instant) (loadTarget, Obstacle) {
+func (s *Scheduler) evaluateTarget(r *Runner, a Need, gain float64, now clock.Instant) (loadTarget, Obstacle) {
 	e := s.engine(r)
-	if r.Service != a.Service || e == nil || !r.Usable(now) || r.LeavesAt != 0 || r.Replica(a.Model) != nil ||
+	if r.Service != a.Service || !a.Serves(r) || e == nil || !r.Usable(now) || r.LeavesAt != 0 || r.Replica(a.Model) != nil ||
 		!s.responsive(r, now) {
 		return loadTarget{}, NoRunner
 	}
--- a/fleet/machine/modeldemand.go
+++ b/fleet/machine/modeldemand.go
@@ -4,15 +4,16 @@
 	"math"
 
 	"github.com/mangopass/mangopass/duty/clock"
+	"github.com/mangopass/mangopass/fleet/contract"
 )
 
 // pruneStale forgets demand that has decayed, and the states of runners that are gone.
 func (s *Scheduler) pruneStale(now clock.Instant) {
-	for a, d := range s.demands {
+	for need, d := range s.demands {
 		d.decay(now)
 		if d.idle() {
-			delete(s.demands, a)
-			delete(s.delayReportedAt, a.Base())
+			delete(s.demands, need)
+			delete(s.delayReportedAt, need.Base())
 		}
 	}
 	for id := range s.localStates {
@@ -55,8 +56,8 @@
 	clear(s.modelDemands)
 	clear(s.evictable)
 	s.countColdLoads(now)
-	for a, d := range s.demands {
-		sum := s.modelDemand(a.Base())
+	for need, d := range s.demands {
+		sum := s.demandFor(need.Base())
 		q := d.total()
 		sum.waiting += q.requests
 		sum.timely += q.timely
@@ -76,14 +77,31 @@
 			continue
 		}
 		for name := range r.Replicas {
-			s.modelDemand(Artifact{Service: r.Service, Model: name}).addReplica(r)
+			s.addReplica(r, name)
 		}
 		if m := s.incomingModel(r, now); m != "" && r.Replica(m) == nil {
-			s.modelDemand(Artifact{Service: r.Service, Model: m}).addReplica(r)
+			s.addReplica(r, m)
 		}
 	}
 }
 
+// addReplica counts a replica of a model, also for the requests that need the runner's software version.
+func (s *Scheduler) addReplica(r *Runner, m contract.ModelName) {
+	a := Artifact{Service: r.Service, Model: m}
+	s.modelDemand(a).addReplica(r)
+	if d := s.versionDemand(a, r); d != nil {
+		d.addReplica(r)
+	}
+}
+
+// versionDemand returns the demand of the requests that need a model at a runner's software version, or nil.
+func (s *Scheduler) versionDemand(a Artifact, r *Runner) *modelDemand {
+	if r.Version == "" {
+		return nil
+	}
+	return s.modelDemands[Need{a, r.Version}]
+}
+
 func (d *modelDemand) addReplica(r *Runner) {
 	d.replicas++
 	if r.RateLimit > 0 {
@@ -95,7 +113,10 @@
 // state a rate limit or have asked the VM of such a request for a pause.
 func (d *modelDemand) starved() bool { return d.waiting > 0 && d.replicas == d.limited || d.held > 0 }
 
-func (s *Scheduler) modelDemand(base Artifact) *modelDemand {
+// modelDemand returns the demand for a model that any software version can serve.
+func (s *Scheduler) modelDemand(base Artifact) *modelDemand { return s.demandFor(Need{Artifact: base}) }
+
+func (s *Scheduler) demandFor(base Need) *modelDemand {
 	d := s.modelDemands[base]
 	if d == nil {
 		d = &modelDemand{}
--- a/fleet/machine/placement.go
+++ b/fleet/machine/placement.go
@@ -93,13 +93,13 @@
 	services        map[contract.ServiceName]*contract.Service
 	localStates     map[RunnerID]*localState
 	remoteStates    map[RunnerID]*remoteState
-	demands         map[Artifact]*demand
-	placedAt        clock.Instant              // last run of the placement
-	prunedAt        clock.Instant              // last removal of demand and states that are no longer needed
-	delayReportedAt map[Artifact]clock.Instant // last report of the delay of a model
+	demands         map[Need]*demand
+	placedAt        clock.Instant          // last run of the placement
+	prunedAt        clock.Instant          // last removal of demand and states that are no longer needed
+	delayReportedAt map[Need]clock.Instant // last report of the delay of a model
 
 	// Rebuilt in each run of the placement, except for coldLoadStarts.
-	modelDemands   map[Artifact]*modelDemand
+	modelDemands   map[Need]*modelDemand
 	evictable      map[RunnerID][]candidate // the cheapest to unload first
 	coldLoads      int                      // loads from the weight store, in progress or about to start
 	coldLoadStarts map[Place]clock.Instant  // those that started within coldLoadWindow
@@ -118,9 +118,9 @@
 func NewScheduler(fleet *Fleet, usage Usage, authority Authority) *Scheduler {
 	return &Scheduler{
 		fleet: fleet, usage: usage, authority: authority, localStates: make(map[RunnerID]*localState),
-		remoteStates: make(map[RunnerID]*remoteState), demands: make(map[Artifact]*demand),
-		delayReportedAt: make(map[Artifact]clock.Instant),
-		modelDemands:    make(map[Artifact]*modelDemand), evictable: make(map[RunnerID][]candidate),
+		remoteStates: make(map[RunnerID]*remoteState), demands: make(map[Need]*demand),
+		delayReportedAt: make(map[Need]clock.Instant),
+		modelDemands:    make(map[Need]*modelDemand), evictable: make(map[RunnerID][]candidate),
 		reserved: make(map[RunnerID]int), coldLoadStarts: make(map[Place]clock.Instant),
 		idleUnload: newIdleUnloadWait(), drainUnload: newDrainUnloadWait(),
 		changed: make(map[RunnerID]uint64), earlyViews: make(map[RunnerID]earlyView),
@@ -143,13 +143,13 @@
 
 // Observe applies the demand that a node reports. No request waits there for an artifact that it leaves out.
 func (s *Scheduler) Observe(node string, reports []DemandReport, now clock.Instant) {
-	reported := make(map[Artifact]bool, len(reports))
+	reported := make(map[Need]bool, len(reports))
 	for _, report := range reports {
-		reported[report.Artifact] = true
-		s.demand(report.Artifact, now).observe(node, report, now)
+		reported[report.Need()] = true
+		s.demand(report.Need(), now).observe(node, report, now)
 	}
-	for artifact, d := range s.demands {
-		if !reported[artifact] {
+	for need, d := range s.demands {
+		if !reported[need] {
 			d.setWaiting(node, queue{}, now)
 		}
 	}
@@ -158,11 +158,11 @@
 // RemoveNode drops the waiting requests of a node that is gone. Its earlier arrivals still count until they decay.
 func (s *Scheduler) RemoveNode(node string, now clock.Instant) { s.Observe(node, nil, now) }
 
-func (s *Scheduler) demand(a Artifact, now clock.Instant) *demand {
-	d := s.demands[a]
+func (s *Scheduler) demand(need Need, now clock.Instant) *demand {
+	d := s.demands[need]
 	if d == nil {
 		d = &demand{decayedAt: now, waiting: make(map[string]queue)}
-		s.demands[a] = d
+		s.demands[need] = d
 	}
 	return d
 }
--- a/fleet/machine/placement_test.go
+++ b/fleet/machine/placement_test.go
@@ -354,3 +354,29 @@
 		}
 	}
 }
+
+// TestModelIsLoadedAtTheVersionThatStreamsNeed guards streams that broke off at the only replica of their software version:
+// the model must be loaded at another runner of that version, although runners of the other one have it.
+func TestModelIsLoadedAtTheVersionThatStreamsNeed(t *testing.T) {
+	sim := newSimulation(4, 16)
+	for id, version := range map[RunnerID]SoftwareVersion{"r0": "v1", "r1": "v2", "r2": "v1", "r3": "v2"} {
+		sim.fleet.Get(id).Version = version
+	}
+	loads := make(map[RunnerID]int)
+	for range 100 {
+		sim.advance(20 * time.Millisecond)
+		sim.scheduler.Observe("n", []DemandReport{
+			{Artifact: artifact(0, 0), Arrivals: 1}, {Artifact: artifact(0, 0), Version: "v2", Waiting: 5},
+		}, sim.now)
+		plan := sim.scheduler.Plan(true, sim.now)
+		for _, o := range plan.Orders {
+			if o.Kind == Load && o.Model == modelName(0) {
+				loads[o.Runner]++
+			}
+		}
+		sim.execute(plan, func() int { return 9 })
+	}
+	if loads["r1"]+loads["r3"] != 1 || loads["r2"] != 0 {
+		t.Errorf("loads of the model: %v, want one at r1 or r3, which have the version", loads)
+	}
+}
--- a/fleet/machine/runner.go
+++ b/fleet/machine/runner.go
@@ -21,6 +21,7 @@
 	Service   contract.ServiceName
 	Address   string // IP:port
 	Zone      zone.ID
+	Version   SoftwareVersion
 	Slots     int           // number of requests that the runner executes at the same time
 	Boot      int64         // start of the runner in Unix milliseconds
 	Draining  bool          // the runner takes no new requests
@@ -71,6 +72,7 @@
 	Service  contract.ServiceName
 	Address  string
 	Zone     zone.ID
+	Version  SoftwareVersion // of this start
 	Slots    int
 	Boot     int64
 	Draining bool
@@ -122,7 +124,9 @@
 func (r *Runner) Replica(m contract.ModelName) *Replica { return r.Replicas[m] }
 
 func newRunner(a Announcement) *Runner {
-	return &Runner{ID: a.ID, Boot: a.Boot, Replicas: make(map[contract.ModelName]*Replica)}
+	return &Runner{
+		ID: a.ID, Service: a.Service, Boot: a.Boot, Version: a.Version, Replicas: make(map[contract.ModelName]*Replica),
+	}
 }
 
 func (r *Runner) applyAnnouncement(a Announcement, now clock.Instant) {
@@ -168,6 +172,8 @@
 	runners map[RunnerID]*Runner
 	sorted  []*Runner // by ID, so that processes with the same runners make the same decisions
 
+	versions map[contract.ServiceName]map[SoftwareVersion]int // number of runners
+
 	departed map[RunnerID]departure
 	held     map[RunnerID]heldEntry
 }
@@ -185,6 +191,14 @@
 // All returns the runners sorted by ID. The caller must not modify the slice.
 func (f *Fleet) All() []*Runner { return f.sorted }
 
+// Versions returns the number of a service's runners of each software version. The caller must not modify the map.
+func (f *Fleet) Versions(s contract.ServiceName) map[SoftwareVersion]int { return f.versions[s] }
+
+// HasUsable reports whether a usable runner of a service has a software version.
+func (f *Fleet) HasUsable(s contract.ServiceName, v SoftwareVersion, now clock.Instant) bool {
+	return slices.ContainsFunc(f.sorted, func(r *Runner) bool { return r.Service == s && r.Version == v && r.Usable(now) })
+}
+
 // Change is the effect of an announcement on the fleet.
 type Change int
 
@@ -268,6 +282,13 @@
 }
 
 func (f *Fleet) sort() {
+	f.versions = make(map[contract.ServiceName]map[SoftwareVersion]int)
+	for _, r := range f.runners {
+		if f.versions[r.Service] == nil {
+			f.versions[r.Service] = make(map[SoftwareVersion]int)
+		}
+		f.versions[r.Service][r.Version]++
+	}
 	f.sorted = slices.SortedFunc(maps.Values(f.runners), func(a, b *Runner) int {
 		if a.ID < b.ID {
 			return -1
--- a/node/entry/admission.go
+++ b/node/entry/admission.go
@@ -48,6 +48,15 @@
 		r.refuse(c, refusal, now)
 		return
 	}
+	if c.takesUp() {
+		r.findOrigin(c, now)
+		return
+	}
+	r.enter(c, now)
+}
+
+// enter counts an admitted call at its service and dispatches it.
+func (r *routing) enter(c *call, now clock.Instant) {
 	r.retryBudget(c.service).CountRequest(now)
 	r.recordDemand(c)
 	r.dispatch(c, now)
@@ -206,6 +215,7 @@
 	return link.Requirements{
 		Artifact: c.artifact, PromptTokens: c.request.PromptTokens, Prompt: c.request.Prompt, From: r.zone,
 		Exclude: c.exclude, Left: c.timeToObjective(now), Waited: c.waiting,
+		Serves: r.mayServe(c, now),
 	}
 }
 
@@ -262,8 +272,13 @@
 		runner: runner.ID, boot: runner.Boot, address: runner.Address, artifact: c.artifact, prefill: choice.Prefill,
 		timely: choice.Timely, expectedLatency: choice.Wait + choice.Prefill + link.FirstTokenTime,
 		limited: r.table.Limits.Limited(runner), deadline: c.deadline, priority: -1,
-		resumable: route.Kind == contract.Stream && route.Resumable,
+		resumable: route.ResumableStream(), version: runner.Version,
+	}
+	if a.resumable && !c.pinned {
+		a.begins, a.stream = true, link.NewStreamID(c.owner(), c.request.ID)
+		a.recorded = r.beginning(c.service, runner.Version, now) == machine.BeginsRecorded
 	}
+	a.verifyBoot = c.pinned && runner.Engine
 	if c.admitted.Organisation != nil {
 		a.organisation = c.admitted.Organisation.Name
 	}
@@ -277,8 +292,8 @@
 	c.cancel, r.inFlight[c] = a.cancel, true
 	r.table.Limits.Sent(runner, now)
 	r.table.Link(runner).Sent(c.artifact, choice.Prefill, choice.Timely)
-	r.log.Info("sent", "request", c.request.ID, "route", route.Name, "runner", runner.ID, "model", c.artifact.Model,
-		"adapter", c.artifact.Adapter, "attempt", c.sends, "queued_ms", choice.Wait.Milliseconds(), "timely", choice.Timely,
+	r.log.Info("sent", "request", c.request.ID, "route", route.Name, "runner", runner.ID, "version", runner.Version,
+		"goes_on", c.pinned, "recorded", a.recorded, "model", c.artifact.Model, "adapter", c.artifact.Adapter, "attempt", c.sends, "queued_ms", choice.Wait.Milliseconds(), "timely", choice.Timely,
 		"waited_ms", now.Sub(c.request.Arrived).Milliseconds(), "manifest", r.manifest.Version)
 	r.metrics.sent.Inc()
 	c.decisions.TryPush(decision{attempt: a})
--- a/node/entry/attempts.go
+++ b/node/entry/attempts.go
@@ -10,8 +10,9 @@
 )
 
 // apply records the time to the first event of a stream.
-func (m attemptStarted) apply(r *routing, _ clock.Instant) {
+func (m attemptStarted) apply(r *routing, now clock.Instant) {
 	delete(r.inFlight, m.call)
+	r.noteBegun(m.call, m.attempt, now)
 	if l := r.linkOf(m.attempt); l != nil {
 		expected := m.attempt.expectedLatency
 		if !m.attempt.timely {
@@ -36,6 +37,9 @@
 func (m attemptEnded) apply(r *routing, now clock.Instant) {
 	c := m.call
 	c.streaming = c.streaming || m.streaming
+	if m.started {
+		r.noteBegun(c, m.attempt, now)
+	}
 	delete(r.inFlight, c)
 	r.recordPartOutcome(m, now)
 	if l := r.linkOf(m.attempt); l != nil {
@@ -71,6 +75,7 @@
 	fields := []any{
 		"request", m.call.request.ID, "runner", m.attempt.runner, "result", m.result.String(),
 		"took_ms", m.took.Milliseconds(), "begun", m.started, "final", m.final, "cause", errorText(m.cause),
+		"version", m.attempt.version,
 	}
 	if m.result == resultBroken {
 		fields = append(fields, "answered", m.answered, "answering_ms", m.answering.Milliseconds(),
@@ -117,6 +122,10 @@
 	case m.result == resultWithdrawn:
 		r.refuse(c, contract.Failed(contract.CrashSuspect, "a part of the prompt has crashed several runners"), now)
 		return
+	case m.result == resultUnrecorded:
+		r.streams.pausedUntil = now.Add(recordPause)
+		r.refuse(c, contract.Failed(contract.StreamUnrecorded, "what began the stream could not be recorded"), now)
+		return
 	case m.result == resultBroken && m.attempt.artifact.Model != "" && !c.streaming:
 		r.countCrash(c.request.Digest, "", now)
 		if r.crashes.Blocked(c.request.Digest, now) {
@@ -133,5 +142,11 @@
 		r.refuseWithCode(c, contract.RunnerFailed, "the retry budget is spent", now)
 		return
 	}
+	if r.refuseLostStream(c, now) {
+		return
+	}
+	if c.streaming {
+		c.waitUntil = max(c.waitUntil, now.Add(continuationWait))
+	}
 	r.dispatch(c, now)
 }
--- a/node/entry/callers.go
+++ b/node/entry/callers.go
@@ -22,12 +22,14 @@
 // callHandler serves requests in the platform's format. Each request runs in a net/http goroutine, which decodes it,
 // receives the routing duty's decisions through a ring of its own, and makes the attempts.
 type callHandler struct {
-	routing      *ring.Ring[message]
-	runners      *platform.RunnerClient
-	bodyLimit    *atomic.Int64   // bytes; set by the routing duty from the manifest
-	cutoff       context.Context // cancelled when a planned stop waits no longer for answers
-	draining     atomic.Bool
-	openRequests atomic.Int64 // requests without a final answer
+	node          string
+	routing       *ring.Ring[message]
+	streamRecords *ring.Ring[streamRecord]
+	runners       *platform.RunnerClient
+	bodyLimit     *atomic.Int64   // bytes; set by the routing duty from the manifest
+	cutoff        context.Context // cancelled when a planned stop waits no longer for answers
+	draining      atomic.Bool
+	openRequests  atomic.Int64 // requests without a final answer
 }
 
 // ServeHTTP implements http.Handler.
@@ -149,17 +151,14 @@
 	defer silence.stop()
 	x.limitWrites(a.deadline)
 
-	answer, err := x.runners.Send(ctx, x.payload, platform.Attempt{
-		Runner: a.runner, Address: a.address, Organisation: a.organisation, Remaining: a.deadline.Sub(begin),
-		Priority: a.priority, LastEvent: x.lastEventID,
-	})
+	answer, err := x.send(ctx, a, begin)
 	end.paused = x.reportStated(a, answer, err)
 	if err == nil {
 		defer answer.Close()
 		end.answered, end.status, end.delimited = true, answer.Status, answer.Delimited()
 		answeredAt := clock.Now()
 		if answer.IsStream() {
-			err = x.forwardStream(answer, a, &end, begin, silence)
+			err = x.forwardStream(ctx, answer, a, &end, begin, silence)
 		} else {
 			err = x.forwardBody(answer, &end)
 		}
@@ -173,6 +172,27 @@
 	return end
 }
 
+// send sends the request to the runner of an attempt, after it has been asked for its process if need be.
+func (x *exchange) send(ctx context.Context, a attempt, begin clock.Instant) (*platform.Answer, error) {
+	if a.verifyBoot {
+		boot, stated, err := x.runners.FetchBoot(ctx, a.runner, a.address)
+		if err != nil {
+			return nil, err
+		}
+		if boot != a.boot {
+			return nil, errors.Mark(errors.Mark(
+				errors.Newf("the runner has started again: boot %d", boot), platform.ErrNoReplica), platform.ErrNotExecuted)
+		}
+		if stated.Leaving || stated.Pause > 0 {
+			x.pushStated(a, stated)
+		}
+	}
+	return x.runners.Send(ctx, x.payload, platform.Attempt{
+		Runner: a.runner, Address: a.address, Organisation: a.organisation, Remaining: a.deadline.Sub(begin),
+		Priority: a.priority, LastEvent: x.lastEventID,
+	})
+}
+
 // reportStated tells the routing duty what a runner states of itself, or that it states no rate limit any more. A rejection
 // without a limit does not say that there is none. It reports whether the runner asks for a pause.
 func (x *exchange) reportStated(a attempt, answer *platform.Answer, err error) (paused bool) {
@@ -186,18 +206,24 @@
 		_ = x.routing.TryPush(limitStated{runner: a.runner, boot: a.boot, perSecond: stated.RateLimit})
 	}
 	if stated.Leaving || stated.Pause > 0 || stated.Malformed != "" {
-		_ = x.routing.Push(context.WithoutCancel(x.call.ctx), runnerStated{ // fails only when the process stops
-			process: machine.Process{Runner: a.runner, Boot: a.boot}, stated: stated, at: clock.Now(),
-		})
+		x.pushStated(a, stated)
 	}
 	return stated.Pause > 0
 }
 
+func (x *exchange) pushStated(a attempt, stated platform.Stated) {
+	_ = x.routing.Push(context.WithoutCancel(x.call.ctx), runnerStated{ // fails only when the process stops
+		process: machine.Process{Runner: a.runner, Boot: a.boot}, stated: stated, at: clock.Now(),
+	})
+}
+
 var (
 	errDeadline = errors.New("the deadline has passed")
 	errSilent   = errors.New("the runner sent nothing within the silence timeout, and another one can go on")
 	errStopping = errors.New("the process is stopping")
 	errBlocked  = errors.New("a part of the prompt crashes runners")
+
+	errUnrecorded = errors.New("what began the stream could not be recorded")
 )
 
 // classify maps the error of an attempt to a result.
@@ -211,6 +237,8 @@
 		return resultCallerGone
 	}
 	switch {
+	case errors.Is(err, errUnrecorded):
+		return resultUnrecorded
 	case errors.Is(err, platform.ErrNoReplica):
 		return resultNoReplica
 	case errors.Is(err, platform.ErrUnreachable):
@@ -250,7 +278,7 @@
 // forwardStream forwards events as they arrive. The response head is written with the first event, so that until then
 // the whole request can be retried on another runner.
 func (x *exchange) forwardStream(
-	answer *platform.Answer, a attempt, end *attemptEnded, begin clock.Instant, silence *silenceTimer,
+	ctx context.Context, answer *platform.Answer, a attempt, end *attemptEnded, begin clock.Instant, silence *silenceTimer,
 ) error {
 	for {
 		event, err := answer.Next()
@@ -270,6 +298,11 @@
 			end.startReported = x.routing.TryPush(attemptStarted{call: x.call, attempt: a, took: clock.Now().Sub(begin)})
 		}
 		if !x.headWritten {
+			if a.recorded {
+				if err := x.recordStream(ctx, a); err != nil {
+					return err
+				}
+			}
 			x.writeHead(answer)
 		}
 		end.streaming = true
--- a/node/entry/demand.go
+++ b/node/entry/demand.go
@@ -12,7 +12,7 @@
 		if c.waiting && c.artifact.Model != "" {
 			waiting = append(waiting, machine.WaitingRequest{
 				Artifact: c.artifact, Due: c.request.Arrived.Add(c.admitted.Route.Objective - link.FirstTokenTime),
-				HeldUntil: c.heldUntil,
+				Version: c.version, HeldUntil: c.heldUntil,
 			})
 		}
 	}
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -81,8 +81,9 @@
 	runners := platform.NewRunnerClient()
 	cutoff, cancel := context.WithCancel(context.Background())
 	e.cancelRequests = cancel
+	streamRecords := ring.New[streamRecord]("stream records", streamRecordCapacity)
 	e.callHandler = &callHandler{
-		routing: e.routing.intake, runners: runners, bodyLimit: &e.routing.bodyLimit, cutoff: cutoff,
+		node: e.settings.ID, routing: e.routing.intake, streamRecords: streamRecords, runners: runners, bodyLimit: &e.routing.bodyLimit, cutoff: cutoff,
 	}
 	e.startDuties(runners, registry, boot)
 	if err := e.listen(registry); err != nil {
@@ -106,12 +107,15 @@
 	r.leader.claims = ring.New[claim]("claims", 2*machine.Shards)
 	r.feeds = ring.New[storeFed]("feeds", feedsCapacity)
 	r.keyWrites = ring.New[keyWrite]("keys", keyWriteCapacity)
+	r.streams.records, r.streams.reads = true, originReads{ring.New[originRead]("origins", originReadCapacity)}
 	r.members.startLink = e.startPeerLink
 	metrics.RegisterRing(registry, r.intake)
 	metrics.RegisterRing(registry, r.leader.orders)
 	metrics.RegisterRing(registry, r.leader.claims)
 	metrics.RegisterRing(registry, r.feeds)
 	metrics.RegisterRing(registry, r.keyWrites)
+	metrics.RegisterRing(registry, r.streams.reads.ring)
+	metrics.RegisterRing(registry, e.callHandler.streamRecords)
 	e.sink.RegisterMetrics(registry)
 	e.group.Go("routing", r.run)
 	for range orderDuties {
@@ -127,8 +131,17 @@
 		path: e.settingsPath, text: e.settingsText, store: store, routing: r.intake, log: e.log,
 	}
 	e.group.Go("reload", reloader.run)
-	e.group.Go("keys", (&keyWriter{store: store, writes: r.keyWrites, log: e.log}).run)
-	e.group.Go("watch", (&watch{store: store, routing: r.intake, feeds: r.feeds, log: e.log}).run)
+	e.group.Go("keys", (&keyWriter{store: store, writes: r.keyWrites, routing: r.intake, log: e.log}).run)
+	e.group.Go("stream records", (&streamRecorder{
+		store: store, records: e.callHandler.streamRecords, log: e.log, outcomes: r.metrics.streamRecords,
+	}).run)
+	for range originReaders {
+		e.group.Go("origins", (&originReader{store: store, reads: r.streams.reads.ring, routing: r.intake}).run)
+	}
+	e.group.Go("watch", (&watch{
+		node: e.settings.ID, store: store, routing: r.intake, feeds: r.feeds, leftRecords: e.callHandler.streamRecords,
+		log: e.log,
+	}).run)
 }
 
 // startPeerLink starts the duty that reports to a peer.
--- a/node/entry/feed_test.go
+++ b/node/entry/feed_test.go
@@ -59,7 +59,7 @@
 		manifest: &platform.Entry{Key: platform.KeyManifest, Value: testManifest(2), Revision: 12},
 		runners: []runnerChange{{
 			id: "s1", entry: platform.Entry{Key: platform.PrefixRunners + "s1", Revision: 11, Value: []byte(
-				`{"service":"s","address":"1.1.1.1:1","zone":"z","state":"ready","slots":6,"born":1,"sequence":1}`)},
+				`{"service":"s","address":"1.1.1.1:1","zone":"z","version":"v1","state":"ready","slots":6,"born":1,"sequence":1}`)},
 			announcement: machine.Announcement{ID: "s1", Service: "s", Address: "1.1.1.1:1", Zone: "z", Slots: 6, Boot: 1},
 		}},
 		position: at(13), sent: f.relay.now,
--- a/node/entry/keywriter.go
+++ b/node/entry/keywriter.go
@@ -5,6 +5,7 @@
 	"log/slog"
 
 	"github.com/mangopass/mangopass/duty/ring"
+	"github.com/mangopass/mangopass/fleet/link"
 	"github.com/mangopass/mangopass/platform"
 )
 
@@ -21,9 +22,10 @@
 
 // keyWriter is the duty that writes mangopass's keys that aren't leased. The watch shows what was written.
 type keyWriter struct {
-	store  *platform.Store
-	writes *ring.Ring[keyWrite]
-	log    *slog.Logger
+	store   *platform.Store
+	writes  *ring.Ring[keyWrite]
+	routing *ring.Ring[message]
+	log     *slog.Logger
 }
 
 func (k *keyWriter) run(ctx context.Context) {
@@ -33,12 +35,19 @@
 			return
 		}
 		txn := platform.Txn{Era: w.era, Conditions: []platform.Condition{{Key: w.key, Revision: w.revision}}}
+		var value []byte
 		if w.value != nil {
-			txn.Writes = []platform.Write{{Key: w.key, Value: marshal(w.value)}}
+			value = marshal(w.value)
+			txn.Writes = []platform.Write{{Key: w.key, Value: value}}
 		} else {
 			txn.Removes = []string{w.key}
 		}
-		if _, outcome, err := k.store.Commit(ctx, txn); outcome != platform.Applied && outcome != platform.Conflict {
+		switch revision, outcome, err := k.store.Commit(ctx, txn); outcome {
+		case platform.Applied:
+			written := keyWritten{write: w, value: value, at: link.Position{Era: w.era, Revision: revision}}
+			_ = k.routing.Push(ctx, written) // fails only when the process stops
+		case platform.Conflict:
+		default:
 			k.log.Warn("key not written", "key", w.key, "outcome", outcome.String(), "error", errorText(err))
 		}
 	}
--- a/node/entry/leader.go
+++ b/node/entry/leader.go
@@ -201,7 +201,7 @@
 		}
 	}
 	for _, d := range plan.Delays {
-		r.log.Info("load delayed", "model", d.Artifact.Model, "obstacle", d.Obstacle.String(), "runner", d.Runner,
+		r.log.Info("load delayed", "model", d.Model, "for_version", d.Version, "obstacle", d.Obstacle.String(), "runner", d.Runner,
 			"gain", d.Gain, "lost", d.Lost)
 	}
 	for _, request := range plan.LoadRequests {
--- a/node/entry/members.go
+++ b/node/entry/members.go
@@ -173,6 +173,7 @@
 		}
 		clear(r.storedParts)
 		r.era.revision = 0
+		r.versions.forgetRevisions()
 		r.applyBegun(ownKeyChange{gone: true})
 	}
 	present := [machine.Shards]bool{}
@@ -191,6 +192,8 @@
 			r.applyNode(name, c, now)
 		} else if strings.HasPrefix(c.key, prefixBlocked) {
 			r.applyStoredPart(c, now)
+		} else if strings.HasPrefix(c.key, prefixVersions) {
+			r.applyVersions(c, now)
 		} else if c.key == keySettledEra {
 			r.applySettledEra(c)
 		}
--- a/node/entry/message.go
+++ b/node/entry/message.go
@@ -37,6 +37,8 @@
 	exclude   []machine.RunnerID
 	cancel    context.CancelCauseFunc // ends the attempt in progress; nil: there is none
 	streaming bool                    // part of the answer has been sent to the caller
+	pinned    bool                    // its stream has begun and goes on only at runners of version
+	version   machine.SoftwareVersion // that began the stream
 
 	retryTaken bool // the retry after the attempt in progress has been taken from the retry budget
 }
@@ -62,7 +64,12 @@
 	expectedLatency time.Duration // time to the first event or answer
 	deadline        clock.Instant
 	priority        int
-	resumable       bool          // a stream that breaks off may continue on another runner
+	resumable       bool // a stream that breaks off may continue on another runner
+	version         machine.SoftwareVersion
+	begins          bool          // the attempt's first event begins a resumable stream
+	recorded        bool          // the store must hold what begins the stream before its first event is passed on
+	stream          link.StreamID // of the stream that begins
+	verifyBoot      bool          // the runner must be asked first whether it still is the process that boot names
 	silenceTimeout  time.Duration // time without an event or answer after which another runner may go on; zero: no limit
 }
 
@@ -79,12 +86,13 @@
 	resultTimeout            // the deadline has passed
 	resultCallerGone         // the caller has disconnected
 	resultWithdrawn          // cancelled by the routing duty; the request may have run
+	resultUnrecorded         // the stream has begun, and what began it could not be recorded
 )
 
 // String returns the result's name for logs and metrics.
 func (r result) String() string {
 	return [...]string{"served", "unreachable", "shed", "no_replica", "broken", "failed", "timeout", "gone",
-		"withdrawn"}[r]
+		"withdrawn", "unrecorded"}[r]
 }
 
 // callArrived is a new call.
--- a/node/entry/metrics.go
+++ b/node/entry/metrics.go
@@ -28,6 +28,9 @@
 	blockedParts prometheus.Gauge
 	pauses       prometheus.Counter
 
+	takeUps       *prometheus.CounterVec
+	streamRecords *prometheus.CounterVec
+
 	rejectedStatements prometheus.Counter
 	gaugesUpdatedAt    clock.Instant
 }
@@ -67,6 +70,14 @@
 			Namespace: metrics.Namespace, Name: "runner_statements_rejected_total",
 			Help: "Statements of runners that can't be read, and pauses that were cut to the longest allowed one.",
 		}),
+		takeUps: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: metrics.Namespace, Name: "streams_taken_up_total",
+			Help: "Streams that callers take up, by where what began them was known from.",
+		}, []string{"source"}),
+		streamRecords: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: metrics.Namespace, Name: "stream_records_total",
+			Help: "Records in the store of what began a stream, by the outcome of their write.",
+		}, []string{"outcome"}),
 		manifest: newGauge("manifest_version", "Version of the manifest in force."),
 		manifestAge: newGauge("manifest_proof_age_seconds",
 			"Time since the store last confirmed that the manifest is the newest."),
@@ -82,8 +93,13 @@
 		blockedParts: newGauge("prompt_parts_blocked",
 			"Prompt parts whose requests are refused because they crash runners."),
 	}
+	for _, source := range []originSource{fromMemory, fromOneVersion, fromRecord, fromNoRecord} {
+		m.takeUps.WithLabelValues(string(source))
+	}
+	m.streamRecords.WithLabelValues(platform.Applied.String())
 	r.MustRegister(m.sent, m.results, m.refused, m.orders, m.firstEvent, m.request, m.manifest, m.manifestAge,
-		m.runners, m.peers, m.shards, m.waiting, m.planner, m.blockedParts, m.pauses, m.rejectedStatements)
+		m.runners, m.peers, m.shards, m.waiting, m.planner, m.blockedParts, m.pauses, m.rejectedStatements,
+		m.takeUps, m.streamRecords)
 	return m
 }
 
--- a/node/entry/parts_test.go
+++ b/node/entry/parts_test.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -188,6 +190,19 @@
 	return keyWrite{key: fmt.Sprintf("%s%x", prefixBlocked, part), revision: revision, value: value}
 }
 
+// partWrites takes the writes of blocked parts' keys from the ring; those of other keys are dropped.
+func (h *harness) partWrites() (writes []keyWrite) {
+	for {
+		write, pending := h.keyWrites.TryPop()
+		if !pending {
+			return writes
+		}
+		if strings.HasPrefix(write.key, prefixBlocked) {
+			writes = append(writes, write)
+		}
+	}
+}
+
 // TestBlockedPartsAreStored guards against a part that crashes runners again after all VMs have started anew, and against
 // keys that stay in the store when their parts are no longer blocked, or that nobody can read.
 func TestBlockedPartsAreStored(t *testing.T) {
@@ -196,17 +211,16 @@
 	h.setUp()
 	h.announceEngines(9)
 	h.crashRunners(3)
-	write, err := h.keyWrites.Pop(t.Context())
-	if err != nil || write != partKey(crashingPart, 0, partEntry{Blocks: 1}) {
-		t.Fatalf("write %+v, error %v; want part %d blocked for the first time", write, err, crashingPart)
+	if writes := h.partWrites(); len(writes) == 0 || writes[0] != partKey(crashingPart, 0, partEntry{Blocks: 1}) {
+		t.Fatalf("writes %+v, want part %d blocked for the first time", writes, crashingPart)
 	}
 	stored := ownKeyChange{key: prefixBlocked + "2", value: marshal(partEntry{Blocks: 1}), revision: 7}
 	h.apply(storeChanged{sent: h.now, ownKeys: []ownKeyChange{stored}})
 	h.now = h.now.Add(2 * partWritePeriod)
 	h.apply(storeChanged{sent: h.now})
 	h.onTick(h.now)
-	if h.keyWrites.Len() != 0 {
-		t.Error("the part is written again although it is in the store")
+	if writes := h.partWrites(); len(writes) != 0 {
+		t.Errorf("writes %+v although the part is in the store", writes)
 	}
 
 	fresh := newHarness()
@@ -219,17 +233,12 @@
 	_, d := fresh.admitPrompt(200, sharedPart, crashingPart)
 	wantRefusal(t, d, contract.CrashSuspect, false)
 	fresh.onTick(fresh.now)
-	if write, err := fresh.keyWrites.Pop(t.Context()); err != nil || write != partKey(3, 8, nil) {
-		t.Errorf("write %+v, error %v; want the removal of the malformed key", write, err)
+	if writes := fresh.partWrites(); len(writes) == 0 || writes[0] != partKey(3, 8, nil) {
+		t.Errorf("writes %+v, want the removal of the malformed key", writes)
 	}
 	fresh.partsCompleted([]uint64{crashingPart}, "", fresh.now)
 	fresh.onTick(fresh.now)
-	removed := false
-	for fresh.keyWrites.Len() > 0 {
-		write, err = fresh.keyWrites.Pop(t.Context())
-		removed = removed || err == nil && write == partKey(crashingPart, 7, nil)
-	}
-	if !removed {
+	if !slices.Contains(fresh.partWrites(), partKey(crashingPart, 7, nil)) {
 		t.Error("the part that has proved sound is not removed from the store")
 	}
 }
--- a/node/entry/routing.go
+++ b/node/entry/routing.go
@@ -63,6 +63,8 @@
 	retryBudgets     map[contract.ServiceName]*link.RetryBudget
 	crashes          *link.CrashTracker
 	promptParts      *link.PartTracker
+	versions         softwareVersions
+	streams          streams
 	storedParts      map[uint64]storedPart // blocked parts in the platform's store
 	keyWrites        *ring.Ring[keyWrite]  // to the key writer
 	partsRecordedAt  clock.Instant         // last comparison of the blocked parts with those in the store
@@ -86,8 +88,9 @@
 		quotas:       make(map[contract.OrganisationName]*contract.Quota),
 		retryBudgets: make(map[contract.ServiceName]*link.RetryBudget),
 		crashes:      link.NewCrashTracker(), promptParts: link.NewPartTracker(), inFlight: make(map[*call]bool),
-		storedParts: make(map[uint64]storedPart),
-		demand:      machine.NewDemandBook(),
+		storedParts: make(map[uint64]storedPart), versions: newSoftwareVersions(),
+		streams: streams{origins: link.NewOriginBook()},
+		demand:  machine.NewDemandBook(),
 	}
 	r.leader.scheduler = machine.NewScheduler(r.fleet, r.table, r)
 	for k := range r.leader.shards {
@@ -138,6 +141,7 @@
 	}
 	r.reviewParts(now)
 	r.recordSettledEra(now)
+	r.recordVersions(now)
 	r.dispatchWaiting(now)
 	r.checkTerms(now)
 	r.recordBegunTerms(now)
@@ -147,6 +151,7 @@
 		r.crashesExpiredAt = now
 		r.crashes.Expire(now)
 		r.promptParts.Expire(now)
+		r.streams.origins.Expire(now)
 	}
 	r.updateGauges(now)
 	r.ready.Store(r.isReady(now))
--- a/node/entry/routing_test.go
+++ b/node/entry/routing_test.go
@@ -89,7 +89,9 @@
 // setUp puts a manifest in force, announces runners of the plain service and advances the time until the quotas have
 // refilled.
 func (h *harness) setUp(runners ...machine.RunnerID) {
-	change := storeChanged{manifest: manifestEntry(testManifest(1)), complete: true, sent: h.now}
+	change := storeChanged{manifest: manifestEntry(testManifest(1)), complete: true, sent: h.now, ownKeys: []ownKeyChange{
+		{key: prefixVersions + "e", value: marshal(versionEntry{}), revision: 1},
+	}}
 	for _, id := range runners {
 		change.runners = append(change.runners, runnerChange{id: id, announcement: machine.Announcement{
 			ID: id, Service: "s", Address: "1.1.1.1:1", Zone: "z", Slots: 6,
--- a/node/entry/storechanges.go
+++ b/node/entry/storechanges.go
@@ -143,7 +143,7 @@
 		default:
 			r.leader.scheduler.RunnerAnnounced(a.ID, now)
 			r.log.Info("runner changed", "runner", a.ID, "service", a.Service, "zone", a.Zone,
-				"boot", a.Boot, "draining", a.Draining)
+				"version", a.Version, "boot", a.Boot, "draining", a.Draining)
 		}
 	}
 }
--- a/node/entry/watch.go
+++ b/node/entry/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"log/slog"
 	"strings"
 	"time"
@@ -33,6 +34,9 @@
 	feeds   *ring.Ring[storeFed]
 	log     *slog.Logger
 
+	node        string
+	leftRecords *ring.Ring[streamRecord] // takes the records of streams that an earlier process of this VM has left
+
 	position   link.Position // the next watch continues from here; no revision: list everything first
 	answeredAt clock.Instant // last answer of the store; zero: none
 	outage     link.OutageTracker
@@ -92,6 +96,9 @@
 		w.log.Info("store available", "revision", position.Revision, "era", position.Era, "after_outage", w.outage.EndedAt() == now)
 	}
 	w.position = position
+	if complete {
+		w.takeLeftRecords(entries)
+	}
 	change := decodeChange(entries)
 	change.complete, change.sent, change.position = complete, sent, position
 	change.outageEndedAt = w.outage.EndedAt()
@@ -122,6 +129,16 @@
 	return retryPause
 }
 
+// takeLeftRecords has the records of streams removed in time that an earlier process of this VM has written.
+func (w *watch) takeLeftRecords(entries []platform.Entry) {
+	for _, e := range entries {
+		var record streamEntry
+		if strings.HasPrefix(e.Key, prefixStreams) && json.Unmarshal(e.Value, &record) == nil && record.Node == w.node {
+			w.leftRecords.TryPush(streamRecord{key: e.Key}) // those that find the ring full stay until the next start
+		}
+	}
+}
+
 // decodeChange groups entries into the manifest, the runners and mangopass's own keys; it ignores others.
 func decodeChange(entries []platform.Entry) storeChanged {
 	var out storeChanged
@@ -135,6 +152,7 @@
 		case isRunner:
 			a, err := platform.DecodeRunner(e)
 			out.runners = append(out.runners, runnerChange{id: id, entry: e, announcement: a, invalid: err})
+		case strings.HasPrefix(e.Key, prefixStreams): // read when the caller takes the stream up
 		case strings.HasPrefix(e.Key, prefixOwn):
 			out.ownKeys = append(out.ownKeys, ownKeyChange{
 				key: e.Key, value: e.Value, revision: e.Revision, gone: e.Deleted,
--- a/node/explain/explain.go
+++ b/node/explain/explain.go
@@ -26,6 +26,10 @@
 	Request    string    `json:"request,omitempty"`
 	Route      string    `json:"route,omitempty"`
 	Runner     string    `json:"runner,omitempty"`
+	Version    string    `json:"version,omitempty"`
+	Resumes    string    `json:"resumes,omitempty"`
+	Source     string    `json:"source,omitempty"`
+	GoesOn     bool      `json:"goes_on,omitempty"`
 	Model      string    `json:"model,omitempty"`
 	Adapter    string    `json:"adapter,omitempty"`
 	Kind       string    `json:"kind,omitempty"`
@@ -142,9 +146,16 @@
 func describe(l Line) string {
 	switch l.Message {
 	case "sent":
-		return fmt.Sprintf(
+		text := fmt.Sprintf(
 			"attempt %d sent to runner %s (%d ms of prefill queued there, %d ms after arrival, manifest %d)",
 			l.Attempt, l.Runner, l.QueuedMs, l.WaitedMs, l.Manifest)
+		if l.GoesOn {
+			text += fmt.Sprintf("; the stream goes on at software version %s", l.Version)
+		}
+		return text
+	case "stream taken up":
+		return fmt.Sprintf("takes up the stream of request %s, begun by software version %s (known from: %s)",
+			l.Resumes, l.Version, l.Source)
 	case "waiting":
 		return fmt.Sprintf("no runner holds %s; waits up to %d ms for the planner %s",
 			artifact(l), l.PatienceMs, l.Planner)
@@ -229,6 +240,9 @@
 	"overloaded":        "the VM or all runners that were tried were full, at their rate limits or had asked for a pause, or the deadline had passed before the request was sent",
 	"crash_suspect":     "earlier runs of the request, or of requests with the same prompt part, had crashed several runners",
 	"deadline_exceeded": "the runner did not answer within the deadline",
+	"stream_lost":       "no runner has the software version that began the stream; look for 'software versions' and 'runner changed'",
+	"origin_unknown":    "what began the stream could not be found out; look for 'origin not found' and 'store unavailable' on its node",
+	"stream_unrecorded": "the store did not take the record of the stream in time; look for 'streams not recorded' on its node",
 	"runner_failed":     "the runner gave no complete answer and the request must not be repeated",
 }
 
--- a/node/explain/explain_test.go
+++ b/node/explain/explain_test.go
@@ -19,6 +19,8 @@
 {"time":"2026-01-01T00:00:00.355Z","msg":"runner silent","node":"n1","request":"p","runner":"r","silent_ms":50,"given_up":false}
 {"time":"2026-01-01T00:00:00.36Z","msg":"runner leaves","node":"n2","runner":"r"}
 {"time":"2026-01-01T00:00:00.4Z","msg":"ended","node":"n1","request":"p","runner":"r","result":"served","took_ms":100,"final":true}
+{"time":"2026-01-01T00:00:02.0Z","msg":"stream taken up","node":"n1","request":"up","resumes":"p","version":"v7","source":"store"}
+{"time":"2026-01-01T00:00:02.1Z","msg":"sent","node":"n1","request":"up","runner":"r","version":"v7","goes_on":true,"attempt":1}
 `
 
 // TestBuildTimeline guards against a timeline that misses steps of other nodes, orders for the request's model or
@@ -58,6 +60,11 @@
 	if text := served.Steps[2].Text; !strings.HasPrefix(text, "runner r has sent nothing for 50 ms; no other") {
 		t.Errorf("step %q, want the silence of the runner", text)
 	}
+	if up, _ := BuildTimeline(lines, "up"); len(up.Steps) != 2 ||
+		!strings.Contains(up.Steps[0].Text, "of request p, begun by software version v7 (known from: store)") ||
+		!strings.HasSuffix(up.Steps[1].Text, "goes on at software version v7") {
+		t.Errorf("steps %+v, want the stream that is taken up and its version", up.Steps)
+	}
 	if _, err := BuildTimeline(lines, "none"); !errors.Is(err, ErrNotFound) {
 		t.Errorf("error %v", err)
 	}
