Play software versions, releases and ends of all entry VMs in the soak

Engines of a run begin with two versions and may start again, empty, with another one of three. The check demands one version for each stream, and that half of the streams that are taken up in calm go on. All entry VMs are killed at once, too.

--- a/standin/runner/http.go
+++ b/standin/runner/http.go
@@ -136,7 +136,7 @@
 			_ = http.NewResponseController(w).Flush()
 			r.crash()
 		}
-		r.stream(w, req, faults.BreakAfter)
+		r.stream(w, req, faults.version, faults.BreakAfter)
 		if faults.life.Err() != nil {
 			panic(http.ErrAbortHandler)
 		}
@@ -152,7 +152,8 @@
 // runFaults are the faults that apply to one run.
 type runFaults struct {
 	Faults
-	life context.Context // ends when the runner crashes
+	life    context.Context // ends when the runner crashes
+	version string          // of the process that runs it
 }
 
 // admit decides whether a request runs. It returns the faults to apply to the request and the index of its Run in the
@@ -179,7 +180,7 @@
 		Request: h.Get("X-Mangopass-Request-Id"), Tenant: h.Get("X-Mangopass-Tenant"), Model: model,
 		Version: r.Version, Prompt: h.Get(headerPrompt), LastEvent: h.Get("Last-Event-Id"), Key: h.Get("Api-Key"), Body: body, At: time.Now(),
 	})
-	faults := runFaults{r.faults, r.life}
+	faults := runFaults{r.faults, r.life, r.Version}
 	r.faults.Reset = max(0, r.faults.Reset-1)
 	r.faults.Hang = max(0, r.faults.Hang-1)
 	r.faults.Garble = max(0, r.faults.Garble-1)
@@ -197,9 +198,13 @@
 
 // stream sends the events after the id in Last-Event-Id, with consecutive ids. If breakAfter is positive, it sends so
 // many events and then breaks the connection in the middle of the next one.
-func (r *Runner) stream(w http.ResponseWriter, req *http.Request, breakAfter int) {
+func (r *Runner) stream(w http.ResponseWriter, req *http.Request, version string, breakAfter int) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	first, _ := strconv.Atoi(req.Header.Get("Last-Event-Id"))
+	suffix := ""
+	if r.StatesVersion {
+		suffix = " of " + version
+	}
 	out := http.NewResponseController(w)
 	for i := first + 1; i <= r.Events; i++ {
 		if !duty.Pause(req.Context(), r.TokenTime) {
@@ -210,7 +215,7 @@
 			_ = out.Flush()
 			panic(http.ErrAbortHandler)
 		}
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: token %d\n\n", i, i); err != nil || out.Flush() != nil {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: token %d%s\n\n", i, i, suffix); err != nil || out.Flush() != nil {
 			return
 		}
 	}
@@ -228,6 +233,9 @@
 	if f.Release != "" && f.Release != r.Version {
 		r.Version = f.Release
 		r.restart()
+		if f.EmptyRelease {
+			clear(r.loaded)
+		}
 	}
 }
 
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -14,21 +14,22 @@
 
 // Spec describes a runner. It is passed to the process as JSON, under the names of its fields.
 type Spec struct {
-	ID           string
-	Service      string
-	Version      string // of the runner's software; empty: v1
-	Address      string // IP:port
-	Announced    string // address in the runner's entry; empty: Address
-	Zone         string
-	Slots        int           // requests that run at the same time
-	Models       []string      // loaded at the start; engines only
-	Engine       bool          // a model engine; otherwise an instance of a plain service
-	WeightsMB    float64       // memory for models
-	ModelMB      float64       // size of each model
-	AdapterSlots int           // adapters over all models
-	LoadTime     time.Duration // to load a model
-	TokenTime    time.Duration // before each event of a stream, or before the answer of a plain service
-	Events       int           // of a stream
+	ID            string
+	Service       string
+	Version       string // of the runner's software; empty: v1
+	Address       string // IP:port
+	Announced     string // address in the runner's entry; empty: Address
+	Zone          string
+	Slots         int           // requests that run at the same time
+	Models        []string      // loaded at the start; engines only
+	Engine        bool          // a model engine; otherwise an instance of a plain service
+	WeightsMB     float64       // memory for models
+	ModelMB       float64       // size of each model
+	AdapterSlots  int           // adapters over all models
+	LoadTime      time.Duration // to load a model
+	TokenTime     time.Duration // before each event of a stream, or before the answer of a plain service
+	Events        int           // of a stream
+	StatesVersion bool          // the events of a stream state the version
 }
 
 // Faults are the ways in which the runner fails. Reset, Shed, Hang and LateOrders count the next requests or orders
@@ -44,8 +45,10 @@
 	Unlisted   bool `json:"unlisted"`    // the runner's entry in the store is removed; it goes on to serve
 	LateOrders int  `json:"late_orders"` // orders that are carried out a second late and not answered
 
-	// Release is the version of the software with which the runner starts again under its ID. Empty: it runs on.
-	Release string `json:"release"`
+	// Release is the version of the software with which the runner starts again under its ID, with the models of its spec or
+	// EmptyRelease. Empty: it runs on.
+	Release      string `json:"release"`
+	EmptyRelease bool   `json:"empty_release"`
 
 	// CrashPart is the ID of a prompt part, as callers write it. The runner crashes when it begins to answer a request
 	// with the part, and starts again with the models of its spec. Empty: none.
--- a/standin/soak/check.go
+++ b/standin/soak/check.go
@@ -42,6 +42,8 @@
 	statedPause = 2 * time.Second
 	pauseStart  = 500 * time.Millisecond
 	pauseRuns   = 3
+	// minTakenUp is the number of streams that are taken up from which on half of them must go on.
+	minTakenUp = 12
 	// streamEvents is the number of events of a stream.
 	streamEvents = 12
 	// statedLimit is the limit, in requests a second, of a limited runner.
@@ -82,6 +84,7 @@
 		c.checkFault(f)
 	}
 	c.checkCrashes()
+	c.checkVersions()
 	c.checkManifests()
 	c.checkKeys()
 	for _, name := range h.Ended {
@@ -165,7 +168,7 @@
 		if want := map[bool]string{true: "", false: "coop"}[q.Route == "open"]; run.Tenant != want {
 			c.report("%s ran for the organisation %q, want %q", q.ID, run.Tenant, want)
 		}
-		if run.Body != "body of "+q.ID {
+		if run.Body != bodyOf(&q) {
 			c.report("%s ran with the body %q", q.ID, run.Body)
 		}
 		if c.RevokedAt > 0 && q.Key == oldKey && q.Route != "open" && q.Sent > c.RevokedAt+revokeBound {
@@ -191,13 +194,56 @@
 		}
 		return
 	}
-	var want strings.Builder
-	for i := 1; i <= streamEvents; i++ {
-		fmt.Fprintf(&want, "id: %d\ndata: token %d\n\n", i, i)
+	first := 1
+	if q.LastEvent != "" {
+		_, _ = fmt.Sscan(q.LastEvent, &first) // written by takeUp
+		first++
 	}
-	if q.Body != want.String() {
-		c.report("%s got a stream that is not events 1 to %d: %q", q.ID, streamEvents, q.Body)
+	events := eventsOf(q.Body)
+	sound := len(events) == streamEvents+1-first && strings.Count(q.Body, "\n") == 3*len(events)
+	for i, e := range events {
+		sound = sound && e.number == first+i
 	}
+	if !sound {
+		c.report("%s got a stream that is not events %d to %d: %q", q.ID, first, streamEvents, q.Body)
+	}
+}
+
+// checkVersions checks that the events of a stream, in one answer or over its take-ups, come from one software version.
+func (c *checker) checkVersions() {
+	began, takenUp, wentOn := make(map[string]string), 0, 0
+	for _, q := range c.Requests {
+		if q.Route != "chat" || q.Status != http.StatusOK {
+			continue
+		}
+		for _, e := range eventsOf(q.Body) {
+			if began[q.began()] == "" {
+				began[q.began()] = e.version
+			}
+			if began[q.began()] != e.version {
+				c.report("%s got event %d of %s in the stream of %s, which %s began", q.ID, e.number, e.version, q.began(),
+					began[q.began()])
+				break
+			}
+		}
+	}
+	for _, q := range c.Requests {
+		if q.Resumes != "" && !c.unplanned(q.Sent, q.Ended) && !c.released(q.Sent) {
+			if takenUp++; q.Status == http.StatusOK {
+				wentOn++
+			}
+		}
+	}
+	if takenUp >= minTakenUp && 2*wentOn < takenUp {
+		c.report("%d of %d streams that were taken up in calm went on", wentOn, takenUp)
+	}
+}
+
+// released reports whether the versions of engines have changed within settled before a moment.
+func (c *checker) released(at time.Duration) bool {
+	return slices.ContainsFunc(c.Faults, func(f Fault) bool {
+		return f.Kind == RunnerReleased && f.Start < at && f.Start+settled > at
+	})
 }
 
 // checkRunner checks the orders of a runner: each fence has one holder, none is followed by a lower one, and those of two
--- a/standin/soak/check_test.go
+++ b/standin/soak/check_test.go
@@ -38,6 +38,14 @@
 	}
 }
 
+// takenUp returns a request that takes up the stream of a after its first event.
+func takenUp(sent time.Duration, status int) Request {
+	return Request{
+		ID: "a-up1", Route: "chat", Resumes: "a", LastEvent: "1", Sent: sent, Ended: sent, Status: status, Whole: true,
+		RequestID: "a-up1", Seal: "seal.engine-0.a-up1", Body: "id: 2\ndata: token 2 of v1\n\n",
+	}
+}
+
 // TestCheckCatchesBrokenPromises guards against a soak that passes whatever the system does: each promise is broken once,
 // and the check must name it. A history without a break must pass.
 func TestCheckCatchesBrokenPromises(t *testing.T) {
@@ -117,6 +125,26 @@
 			h.Records[0].Refused = append(h.Records[0].Refused, runner.Refusal{At: h.Start.Add(2700 * time.Millisecond)},
 				runner.Refusal{At: h.Start.Add(2800 * time.Millisecond)})
 		},
+		"in the stream of a, which v1 began": func(h *History) {
+			h.Requests = append(h.Requests, takenUp(2*time.Second, 200))
+			h.Requests[0].Route, h.Requests[0].Body = "chat", "id: 1\ndata: token 1 of v1\n\nid: 2\ndata: token 2 of v2\n\n"
+		},
+		"which v2 began": func(h *History) {
+			h.Requests[0].Route, h.Requests[0].Whole = "chat", false
+			h.Requests[0].Body = "id: 1\ndata: token 1 of v2\n\n"
+			h.Requests = append(h.Requests, takenUp(2*time.Second, 200))
+		},
+		"5 of 12 streams that were taken up": func(h *History) {
+			for i := range 12 {
+				status := 503
+				if i < 5 {
+					status = 200
+				}
+				q := takenUp(time.Duration(i+20)*time.Second, status)
+				q.Resumes, q.Body, q.Whole = q.Resumes+string(rune('a'+i)), "", false
+				h.Requests = append(h.Requests, q)
+			}
+		},
 		"its limit allows": func(h *History) {
 			h.Faults = []Fault{{Kind: RunnerLimited, Target: "runner", Start: 0, End: limitTime}}
 			for range 18 {
@@ -187,6 +215,11 @@
 		t.Error("no fault between entry VMs, or of answers")
 	}
 	all = append(all, later...)
+	versions := PlanVersions(rand.New(rand.NewPCG(9, 4)), 20*time.Second, Sizes{Entries: 3, Engines: 4, Runners: 7}, all)
+	if len(versions) == 0 {
+		t.Error("no release, and no end of all entry VMs")
+	}
+	all = append(all, versions...)
 	restores := []Fault{
 		{Kind: StoreRestored, Target: "store", Start: 30 * time.Second, End: 33 * time.Second},
 		{Kind: StoreRestored, Target: "store", Start: 50 * time.Second, End: 53 * time.Second},
--- a/standin/soak/keys.go
+++ b/standin/soak/keys.go
@@ -92,7 +92,7 @@
 // restarted reports whether an entry VM may have ended and started again between two moments.
 func (c *checker) restarted(entry int, from, to time.Duration) bool {
 	return slices.ContainsFunc(c.Faults, func(f Fault) bool {
-		return (f.Kind == EntryKilled || f.Kind == EntryStopped) && f.Index == entry && f.Start < to &&
+		return (f.Kind == AllKilled || (f.Kind == EntryKilled || f.Kind == EntryStopped) && f.Index == entry) && f.Start < to &&
 			f.End+stopTimeout > from
 	})
 }
--- a/standin/soak/plan.go
+++ b/standin/soak/plan.go
@@ -37,6 +37,10 @@
 	RunnerSays    Kind = "runner_says_it_leaves" // in its answers; its entry stays as it is
 	RunnerPauses  Kind = "runner_pauses"         // refuses all requests and states a time to come back
 
+	// AllKilled ends all entry VMs at the same moment by SIGKILL; they are started again at once.
+	AllKilled Kind = "all_entries_killed"
+	// RunnerReleased starts a runner again with another software version and without models.
+	RunnerReleased Kind = "runner_released"
 	// RunnerGarbles spoils answers: an earlier refusal in their place, heads that are cut off or without end, a second answer.
 	RunnerGarbles Kind = "runner_garbles"
 	// EntryMisses is a suspension in which a key is withdrawn and the store returns from an older copy. Until some seconds
@@ -84,6 +88,7 @@
 	leavingTime  = 4 * time.Second // of RunnerLeaves and RunnerDrains
 	addedGap     = 6 * time.Second // the largest time between the starts of two added faults
 	laterGap     = 8 * time.Second // the same for faults that were added later
+	versionGap   = 6 * time.Second // the same for releases and ends of all entry VMs
 	restoreAge   = 6 * time.Second // the largest time by which the copy is older
 	// restoreOutage is the time for which the store is away before it is restored.
 	restoreOutage = 400 * time.Millisecond
@@ -94,7 +99,7 @@
 )
 
 // Sizes is the number of targets of each kind; there is one store.
-type Sizes struct{ Entries, Runners, Links int }
+type Sizes struct{ Entries, Engines, Runners, Links int }
 
 // Plan draws the faults of a run. Faults of different targets overlap; a target has one at a time.
 func Plan(r *rand.Rand, duration time.Duration, sizes Sizes) []Fault {
@@ -158,6 +163,16 @@
 	})
 }
 
+// PlanVersions draws, in the same way, releases of engines and ends of all entry VMs at once.
+func PlanVersions(r *rand.Rand, duration time.Duration, sizes Sizes, others []Fault) []Fault {
+	return drawFaults(r, versionGap, duration, others, func(at time.Duration) Fault {
+		if r.IntN(2) == 0 {
+			return Fault{Kind: AllKilled, Target: "entries", Start: at, End: at + minFaultTime}
+		}
+		return Fault{Kind: RunnerReleased, Target: "runner", Index: r.IntN(sizes.Engines), Start: at, End: at + minFaultTime}
+	})
+}
+
 // drawFaults draws faults, the starts of two of them at most gap apart, and drops those that last too long or overlap with one
 // of the same target.
 func drawFaults(
@@ -193,5 +208,7 @@
 
 // overlaps reports whether another fault has the same target at the same time.
 func (f Fault) overlaps(o Fault) bool {
-	return o.Target == f.Target && o.Index == f.Index && o.Start < f.End && f.Start < o.End
+	same := o.Target == f.Target && o.Index == f.Index
+	allEntries := f.Kind == AllKilled && o.Target == "entry" || o.Kind == AllKilled && f.Target == "entry"
+	return (same || allEntries) && o.Start < f.End && f.Start < o.End
 }
--- a/standin/soak/run.go
+++ b/standin/soak/run.go
@@ -36,6 +36,9 @@
 	Logs     map[string]string
 }
 
+// versions are the versions of the engines' software. All runs begin with the first two.
+var versions = []string{"v1", "v2", "v3"}
+
 const (
 	// desks is the number of instances of the plain service.
 	desks = 3
@@ -49,6 +52,8 @@
 	laterStream = 1<<32 + 30
 	// suspensionStream is the stream for PlanSuspensions.
 	suspensionStream = 1<<32 + 20
+	// versionStream is the stream for PlanVersions, and for the versions that engines get.
+	versionStream = 1<<32 + 40
 	// stopTimeout is how long an entry VM may take for a planned stop.
 	stopTimeout = 12 * time.Second
 )
@@ -62,11 +67,12 @@
 		return Result{}, err
 	}
 	defer x.deployment.Stop()
-	sizes := Sizes{Entries: s.Entries, Runners: len(x.deployment.Runners), Links: len(x.proxies)}
+	sizes := Sizes{Entries: s.Entries, Engines: s.Engines, Runners: len(x.deployment.Runners), Links: len(x.proxies)}
 	faults := Plan(random, s.Duration, sizes)
 	faults = append(faults, PlanAdded(rand.New(rand.NewPCG(s.Seed, addedStream)), s.Duration, sizes, faults)...)
 	faults = append(faults, PlanLater(rand.New(rand.NewPCG(s.Seed, laterStream)), s.Duration, sizes, faults)...)
 	faults = append(faults, PlanSuspensions(rand.New(rand.NewPCG(s.Seed, suspensionStream)), sizes, faults)...)
+	faults = append(faults, PlanVersions(rand.New(rand.NewPCG(s.Seed, versionStream)), s.Duration, sizes, faults)...)
 	x.callers = &callers{start: time.Now()}
 	for _, e := range x.deployment.Entries {
 		x.callers.entries = append(x.callers.entries, e.Callers)
@@ -116,7 +122,7 @@
 	spec := deploy.Spec{Binaries: x.Binaries, Dir: x.Dir, Entries: x.Entries, Proxy: x.addProxy, PeerProxy: x.addPeerProxy}
 	for i := range x.Engines {
 		spec.Runners = append(spec.Runners, runner.Spec{
-			ID: fmt.Sprint("engine-", i), Service: "engines", Zone: "dc-a", Slots: 8, Models: []string{"tulip", "lily"},
+			ID: fmt.Sprint("engine-", i), Service: "engines", Version: versions[i%2], StatesVersion: true, Zone: "dc-a", Slots: 8, Models: []string{"tulip", "lily"},
 			Engine: true, WeightsMB: 70000, ModelMB: 30000, AdapterSlots: 2, LoadTime: 250 * time.Millisecond,
 			TokenTime: 10 * time.Millisecond, Events: streamEvents,
 		})
@@ -206,6 +212,8 @@
 	switch f.Target {
 	case "entry":
 		x.playEntry(f, lasts)
+	case "entries":
+		x.killAll(lasts)
 	case "store":
 		if f.Kind == StoreRestored {
 			x.playRestore(f)
@@ -224,6 +232,11 @@
 		lasts()
 		p.SetFault("")
 	case "runner":
+		if f.Kind == RunnerReleased {
+			version := versions[(int(f.Start/time.Millisecond)+f.Index)%len(versions)]
+			x.setRunnerFaults(x.deployment.Runners[f.Index], runner.Faults{Release: version, EmptyRelease: true})
+			return
+		}
 		faults := map[Kind]runner.Faults{
 			RunnerResets: {Reset: 5, BreakAfter: 3}, RunnerGarbles: {Garble: 8}, RunnerSheds: {Shed: 20}, RunnerHangs: {Hang: 3},
 			RunnerLimited: {RateLimit: statedLimit}, RunnerLeaves: {Unlisted: true}, RunnerDrains: {Draining: true},
@@ -273,6 +286,17 @@
 	}
 }
 
+// killAll kills all entry VMs at the same moment.
+func (x *execution) killAll(lasts func()) {
+	ending := duty.NewGroup(x.ctx)
+	for _, m := range x.managers {
+		ending.Go("kill", func(context.Context) { m.end(syscall.SIGKILL, lasts) })
+	}
+	for len(ending.Names()) > 0 {
+		duty.Pause(context.Background(), holdPeriod)
+	}
+}
+
 // awaitRecovery reports whether the system serves recoveryProbes requests in a row within recoveryBound.
 func (x *execution) awaitRecovery() bool {
 	probes := &callers{start: x.callers.start, entries: x.callers.entries}
