--- a/fleet/machine/runner.go
+++ b/fleet/machine/runner.go
@@ -214,12 +214,13 @@
 // Announce applies a runner's store entry and returns its effect.
 func (f *Fleet) Announce(a Announcement, now clock.Instant) Change {
 	r := f.runners[a.ID]
-	if r != nil && (a.Boot < r.Boot || a.Boot == r.Boot && a.Heartbeat < r.heartbeat) {
+	released := r != nil && a.Boot == r.Boot && a.Version != r.Version // a runner that does not state when it started
+	if r != nil && !released && (a.Boot < r.Boot || a.Boot == r.Boot && a.Heartbeat < r.heartbeat) {
 		r.missingSince = 0 // its entry is there, if only as an older copy of the store shows it
 		return Outdated
 	}
 	change := Updated
-	if r == nil || a.Boot > r.Boot {
+	if r == nil || a.Boot > r.Boot || released {
 		change = Joined
 		if r != nil {
 			change = Restarted
--- a/standin/deploy/deploy.go
+++ b/standin/deploy/deploy.go
@@ -230,6 +230,9 @@
 // Signal sends a signal to the process; it does nothing if the process has ended.
 func (p *Process) Signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
 
+// PID returns the ID of the process.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
 // PeakMemoryMB returns the largest resident memory of the running process so far, in MB.
 func (p *Process) PeakMemoryMB() (float64, error) {
 	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
--- a/standin/runner/garble.go
+++ b/standin/runner/garble.go
@@ -20,7 +20,7 @@
 const endlessHead = 4 << 20
 
 // garble spoils the answer to a request that has run, in the way that the number gives, and closes the connection.
-func (r *Runner) garble(w http.ResponseWriter, id string, number int) {
+func (r *Runner) garble(w http.ResponseWriter, id, version string, number int) {
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		panic("runner: take over connection: " + err.Error())
@@ -41,7 +41,7 @@
 		body := fmt.Sprintf("%s answers %s\n", r.ID, id)
 		if r.Engine {
 			head += "Content-Type: text/event-stream\r\n"
-			body = eventsTo(r.Events)
+			body = r.eventsTo(version, r.Events)
 		}
 		whole := head + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body)
 		write(whole + strings.ReplaceAll(whole, id, "earlier-"+id))
@@ -54,10 +54,19 @@
 }
 
 // eventsTo returns the events of a stream up to the last.
-func eventsTo(last int) string {
+func (r *Runner) eventsTo(version string, last int) string {
 	var events strings.Builder
 	for i := 1; i <= last; i++ {
-		fmt.Fprintf(&events, "id: %d\ndata: token %d\n\n", i, i)
+		events.WriteString(r.event(version, i))
 	}
 	return events.String()
 }
+
+// event returns an event of a stream, written by a process with the given software version.
+func (r *Runner) event(version string, number int) string {
+	text := fmt.Sprintf("token %d", number)
+	if r.StatesVersion {
+		text += " of " + version
+	}
+	return fmt.Sprintf("id: %d\ndata: %s\n\n", number, text)
+}
--- a/standin/runner/http.go
+++ b/standin/runner/http.go
@@ -121,7 +121,7 @@
 	}
 	id := req.Header.Get("X-Mangopass-Request-Id")
 	if faults.Garble > 0 && req.Header.Get("Last-Event-Id") == "" {
-		r.garble(w, id, faults.Garble)
+		r.garble(w, id, faults.version, faults.Garble)
 		return
 	}
 	w.Header().Set("X-Mangopass-Request-Id", id)
@@ -201,10 +201,6 @@
 func (r *Runner) stream(w http.ResponseWriter, req *http.Request, version string, breakAfter int) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	first, _ := strconv.Atoi(req.Header.Get("Last-Event-Id"))
-	suffix := ""
-	if r.StatesVersion {
-		suffix = " of " + version
-	}
 	out := http.NewResponseController(w)
 	for i := first + 1; i <= r.Events; i++ {
 		if !duty.Pause(req.Context(), r.TokenTime) {
@@ -215,7 +211,7 @@
 			_ = out.Flush()
 			panic(http.ErrAbortHandler)
 		}
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: token %d%s\n\n", i, i, suffix); err != nil || out.Flush() != nil {
+		if _, err := io.WriteString(w, r.event(version, i)); err != nil || out.Flush() != nil {
 			return
 		}
 	}
