Refuse requests that come late in a planned stop

Callers saw requests cut off at the end of the grace period that had been taken late in it, among them ones that may not be repeated. net/http's Shutdown leaves connections open that have sent nothing yet for five seconds, and requests whose body is still on its way; both were passed on to runners whenever they came, and cut 0.8 s before the end.

Calls that were taken before are finished as they were.

--- a/fleet/contract/refusal.go
+++ b/fleet/contract/refusal.go
@@ -23,6 +23,7 @@
 	CrashSuspect     Code = "crash_suspect"
 	DeadlineExceeded Code = "deadline_exceeded"
 	RunnerFailed     Code = "runner_failed"
+	Stopping         Code = "stopping"
 	StreamLost       Code = "stream_lost"       // no runner can go on with the stream that the caller takes up
 	OriginUnknown    Code = "origin_unknown"    // what began that stream is not known now
 	StreamUnrecorded Code = "stream_unrecorded" // what begins the stream could not be recorded
--- a/node/entry/admission.go
+++ b/node/entry/admission.go
@@ -21,6 +21,8 @@
 	manifestRetryAfter = 500 * time.Millisecond
 	runnerRetryAfter   = 150 * time.Millisecond
 	replicaRetryAfter  = time.Second
+	// stoppingRetryAfter is when a caller may send a request again that this VM refuses because it is being stopped.
+	stoppingRetryAfter = 50 * time.Millisecond
 	// minAttemptTime is the shortest time before the deadline at which a call is still sent to a runner.
 	minAttemptTime = 15 * time.Millisecond
 	// maxSends limits the attempts of one call, including those that the runner did not execute.
@@ -44,6 +46,10 @@
 // apply admits or refuses a new call and dispatches it.
 func (m callArrived) apply(r *routing, now clock.Instant) {
 	c := m.call
+	if r.stopsSoon(now) {
+		r.refuseStopping(c, now)
+		return
+	}
 	if refusal := r.admit(c, now); refusal != nil {
 		r.refuse(c, refusal, now)
 		return
@@ -178,8 +184,22 @@
 	return m, ok
 }
 
+// stopsSoon reports whether a planned stop has come so far that a call which no runner has yet might be cut off at its end.
+func (r *routing) stopsSoon(now clock.Instant) bool {
+	return r.stopping && !now.Before(r.stopWaitUntil)
+}
+
+// refuseStopping refuses a call that has not run. The caller reaches another VM when it comes again.
+func (r *routing) refuseStopping(c *call, now clock.Instant) {
+	r.refuse(c, contract.Refuse(contract.Stopping, stoppingRetryAfter, "the VM is being stopped"), now)
+}
+
 // dispatch sends a call to a runner, queues it until a replica is there, or refuses it.
 func (r *routing) dispatch(c *call, now clock.Instant) {
+	if c.runs == 0 && r.stopsSoon(now) {
+		r.refuseStopping(c, now)
+		return
+	}
 	if part, blocked := r.promptParts.Blocked(c.parts, now); blocked {
 		r.refuseBlocked(c, part, now)
 		return
--- a/node/explain/explain.go
+++ b/node/explain/explain.go
@@ -240,6 +240,7 @@
 	"overloaded":        "the VM or all runners that were tried were full, at their rate limits or had asked for a pause, or the deadline had passed before the request was sent",
 	"crash_suspect":     "earlier runs of the request, or of requests with the same prompt part, had crashed several runners",
 	"deadline_exceeded": "the runner did not answer within the deadline",
+	"stopping":          "the VM was being stopped; another one takes the request",
 	"stream_lost":       "no runner has the software version that began the stream; look for 'software versions' and 'runner changed'",
 	"origin_unknown":    "what began the stream could not be found out; look for 'origin not found' and 'store unavailable' on its node",
 	"stream_unrecorded": "the store did not take the record of the stream in time; look for 'streams not recorded' on its node",
--- a/standin/runner/http.go
+++ b/standin/runner/http.go
@@ -177,7 +177,7 @@
 	}
 	r.running++
 	r.record.Runs = append(r.record.Runs, Run{
-		Request: h.Get("X-Mangopass-Request-Id"), Tenant: h.Get("X-Mangopass-Tenant"), Model: model,
+		Request: h.Get("X-Mangopass-Request-Id"), Path: req.URL.Path, Tenant: h.Get("X-Mangopass-Tenant"), Model: model,
 		Version: r.Version, Prompt: h.Get(headerPrompt), LastEvent: h.Get("Last-Event-Id"), Key: h.Get("Api-Key"), Body: body, At: time.Now(),
 	})
 	faults := runFaults{r.faults, r.life, r.Version}
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -67,6 +67,7 @@
 // Run is one request that the runner started to run.
 type Run struct {
 	Request   string    `json:"request"`
+	Path      string    `json:"path"`
 	Tenant    string    `json:"tenant"`
 	Model     string    `json:"model"`
 	Version   string    `json:"version"`    // of the runner's software
