--- a/node/entry/callers.go
+++ b/node/entry/callers.go
@@ -151,7 +151,7 @@
 	defer silence.stop()
 	x.limitWrites(a.deadline)
 
-	answer, err := x.send(ctx, a, begin)
+	answer, err := x.send(ctx, a)
 	end.paused = x.reportStated(a, answer, err)
 	if err == nil {
 		defer answer.Close()
@@ -173,7 +173,7 @@
 }
 
 // send sends the request to the runner of an attempt, after it has been asked for its process if need be.
-func (x *exchange) send(ctx context.Context, a attempt, begin clock.Instant) (*platform.Answer, error) {
+func (x *exchange) send(ctx context.Context, a attempt) (*platform.Answer, error) {
 	if a.verifyBoot {
 		boot, stated, err := x.runners.FetchBoot(ctx, a.runner, a.address)
 		if err != nil {
@@ -183,12 +183,12 @@
 			return nil, errors.Mark(errors.Mark(
 				errors.Newf("the runner has started again: boot %d", boot), platform.ErrNoReplica), platform.ErrNotExecuted)
 		}
-		if stated.Leaving || stated.Pause > 0 {
+		if stated.Leaving {
 			x.pushStated(a, stated)
 		}
 	}
 	return x.runners.Send(ctx, x.payload, platform.Attempt{
-		Runner: a.runner, Address: a.address, Organisation: a.organisation, Remaining: a.deadline.Sub(begin),
+		Runner: a.runner, Address: a.address, Organisation: a.organisation, Remaining: a.deadline.Sub(clock.Now()),
 		Priority: a.priority, LastEvent: x.lastEventID,
 	})
 }
