Let calls that go on with a stream go first at a runner

Cause: such a call was ranked like a new request that is late, behind all that could be in time, and waited for a replica no longer than one that can be served elsewhere.

It now has the first of the runners' ten ranks, waits for 85 in 100 of its time, and counts as in time for the planner. The ranks of the others that can be in time begin one later, so that their test expects one more for the same priority.

--- a/fleet/link/table.go
+++ b/fleet/link/table.go
@@ -21,6 +21,8 @@
 	Serves func(machine.SoftwareVersion) bool
 	Left   time.Duration // time left until the first event is late
 	Waited bool          // the request has waited for a replica, or for a runner at its rate limit
+	// First says that the request goes before all others that wait at a runner.
+	First bool
 }
 
 // Choice is a runner for a request, with the expected times there.
@@ -299,7 +301,9 @@
 func (t *Table) evaluate(r *machine.Runner, req Requirements, hashes []uint64) Choice {
 	tokens := req.PromptTokens - t.Link(r).cache.cachedTokens(hashes, req.Prompt)
 	c := Choice{Runner: r, Prefill: PrefillTime(max(0, tokens)), Wait: t.Queued(r.ID)}
-	if ahead := t.timely(r.ID); req.Artifact.Model == "" || ahead+c.Prefill+FirstTokenTime <= req.Left {
+	if req.First {
+		c.Timely, c.Wait = true, 0
+	} else if ahead := t.timely(r.ID); req.Artifact.Model == "" || ahead+c.Prefill+FirstTokenTime <= req.Left {
 		c.Timely, c.Wait = true, min(ahead, c.Wait)
 	}
 	return c
--- a/node/entry/admission.go
+++ b/node/entry/admission.go
@@ -234,7 +234,7 @@
 func (r *routing) requirements(c *call, now clock.Instant) link.Requirements {
 	return link.Requirements{
 		Artifact: c.artifact, PromptTokens: c.request.PromptTokens, Prompt: c.request.Prompt, From: r.zone,
-		Exclude: c.exclude, Left: c.timeToObjective(now), Waited: c.waiting,
+		Exclude: c.exclude, Left: c.timeToObjective(now), First: c.pinned, Waited: c.waiting,
 		Serves: r.mayServe(c, now),
 	}
 }
@@ -244,12 +244,8 @@
 	return !now.Before(c.waitUntil) || r.stopping && !now.Before(r.stopWaitUntil)
 }
 
-// timeToObjective returns the time left until the first event of a call is late. A stream that has begun is late when the
-// pause between its events is too long.
+// timeToObjective returns the time left until the first event of a call is late.
 func (c *call) timeToObjective(now clock.Instant) time.Duration {
-	if c.streaming {
-		return c.admitted.Route.MaxGap
-	}
 	return c.request.Arrived.Add(c.admitted.Route.Objective).Sub(now)
 }
 
@@ -266,21 +262,28 @@
 }
 
 // priority returns the rank that a call's attempt has at a runner, 0 being the first. An organisation's priority goes
-// before that of the route. Calls that are late in any case come after all others.
+// before that of the route. Calls that are late in any case come after all others, unless they go on with a stream.
 func (c *call) priority(timely bool) int {
 	rank := c.admitted.Route.Priority
 	if o := c.admitted.Organisation; o != nil && o.Priority != nil {
 		rank = *o.Priority
 	}
-	rank = min(max(0, rank), lowestTimelyRank)
-	if !timely {
-		rank += lowestTimelyRank + 1
+	switch {
+	case c.pinned:
+		return 0
+	case timely:
+		return min(firstTimelyRank+max(0, rank), lastTimelyRank)
 	}
-	return rank
+	return min(lastTimelyRank+1+max(0, rank), lastRank)
 }
 
-// lowestTimelyRank is the last rank of calls that can be in time. Runners know ten ranks.
-const lowestTimelyRank = 4
+// Runners know ten ranks. The first one is for calls that go on with a stream: their callers have its first part, wait no longer
+// than for a pause, and get the rest nowhere else. Then come those that can be in time.
+const (
+	firstTimelyRank = 1
+	lastTimelyRank  = 4
+	lastRank        = 9
+)
 
 // send starts an attempt on the chosen runner.
 func (r *routing) send(c *call, choice link.Choice, now clock.Instant) {
--- a/node/entry/demand.go
+++ b/node/entry/demand.go
@@ -10,9 +10,12 @@
 	var waiting []machine.WaitingRequest
 	for _, c := range r.waiting {
 		if c.waiting && c.artifact.Model != "" {
+			due := c.request.Arrived.Add(c.admitted.Route.Objective)
+			if c.pinned {
+				due = c.deadline
+			}
 			waiting = append(waiting, machine.WaitingRequest{
-				Artifact: c.artifact, Due: c.request.Arrived.Add(c.admitted.Route.Objective - link.FirstTokenTime),
-				Version: c.version, HeldUntil: c.heldUntil,
+				Artifact: c.artifact, Version: c.version, Due: due.Add(-link.FirstTokenTime), HeldUntil: c.heldUntil,
 			})
 		}
 	}
--- a/node/entry/streams.go
+++ b/node/entry/streams.go
@@ -18,6 +18,9 @@
 	// continuationWait is how long a stream that broke off waits for a runner of its version with the model. Callers give up
 	// after two seconds without an event, or later.
 	continuationWait = 1500 * time.Millisecond
+	// takeUpWaitShare is the share of its time that a call which takes a stream up waits for a runner of its version. It is
+	// larger than that of others, which may be served elsewhere when they come again.
+	takeUpWaitShare = 0.85
 	// originRetryAfter is when a caller may take a stream up again whose origin is not known now.
 	originRetryAfter = time.Second
 	// recordPause is the time after a failed record of a stream in which no stream is begun that needs one.
@@ -139,6 +142,7 @@
 	}
 	c.service, c.artifact.Service = origin.Service, origin.Service
 	c.pin(origin.Version)
+	c.waitUntil = c.request.Arrived.Add(time.Duration(takeUpWaitShare * float64(c.deadline.Sub(c.request.Arrived))))
 	if r.refuseLostStream(c, now) {
 		return
 	}
