--- a/cmd/processtest/latestop_test.go
+++ b/cmd/processtest/latestop_test.go
@@ -10,9 +10,6 @@
 	"syscall"
 	"testing"
 	"time"
-
-	"github.com/mangopass/mangopass/standin/deploy"
-	"github.com/mangopass/mangopass/standin/runner"
 )
 
 // stopGrace is the grace period of the entry VMs in these tests.
@@ -62,17 +59,7 @@
 func TestLateRequestsOfPlannedStopAreNotCut(t *testing.T) {
 	desk := deskSpec("desk-0")
 	desk.Slots, desk.TokenTime = 200, time.Second
-	d, err := deploy.Start(deploy.Spec{Binaries: binaries, Dir: t.TempDir(), Entries: 1, Runners: []runner.Spec{desk}})
-	t.Cleanup(d.Stop)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := d.PutManifest(t.Context(), manifest(1, callerKey)); err != nil {
-		t.Fatal(err)
-	}
-	if err := d.AwaitReady(); err != nil {
-		t.Fatal(err)
-	}
+	d := startWith(t, 1, desk)
 	e := d.Entries[0]
 	address := map[bool]string{false: e.Callers, true: e.API}
 	var requests []*lateRequest
--- a/cmd/processtest/setup_test.go
+++ b/cmd/processtest/setup_test.go
@@ -108,16 +108,18 @@
 }
 
 // start starts two entry VMs, an engine with the model tulip, one with tulip and lily, and two instances of the plain
-// service desk. When the test has failed, it logs the end of the entry VMs' logs.
+// service desk.
 func start(t *testing.T) *deploy.Deployment {
 	t.Helper()
-	d, err := deploy.Start(deploy.Spec{
-		Binaries: binaries, Dir: t.TempDir(), Entries: 2,
-		Runners: []runner.Spec{
-			engineSpec("engine-0", "tulip"), engineSpec("engine-1", "tulip", "lily"),
-			deskSpec("desk-0"), deskSpec("desk-1"),
-		},
-	})
+	return startWith(t, 2, engineSpec("engine-0", "tulip"), engineSpec("engine-1", "tulip", "lily"),
+		deskSpec("desk-0"), deskSpec("desk-1"))
+}
+
+// startWith starts entry VMs and the given runners, and waits until the VMs are ready. When the test has failed, it logs the end
+// of their logs.
+func startWith(t *testing.T, entries int, runners ...runner.Spec) *deploy.Deployment {
+	t.Helper()
+	d, err := deploy.Start(deploy.Spec{Binaries: binaries, Dir: t.TempDir(), Entries: entries, Runners: runners})
 	t.Cleanup(func() {
 		d.Stop()
 		if t.Failed() {
--- a/cmd/processtest/versions_test.go
+++ b/cmd/processtest/versions_test.go
@@ -18,30 +18,12 @@
 // startVersions starts entry VMs and engines with the model tulip, one for each of the given software versions.
 func startVersions(t *testing.T, entries int, versions ...string) *deploy.Deployment {
 	t.Helper()
-	spec := deploy.Spec{Binaries: binaries, Dir: t.TempDir(), Entries: entries}
+	engines := make([]runner.Spec, len(versions))
 	for i, version := range versions {
-		engine := engineSpec(fmt.Sprint("engine-", i), "tulip")
-		engine.Version, engine.Events, engine.TokenTime = version, 40, 20*time.Millisecond
-		spec.Runners = append(spec.Runners, engine)
-	}
-	d, err := deploy.Start(spec)
-	t.Cleanup(func() {
-		d.Stop()
-		if t.Failed() {
-			for _, e := range d.Entries {
-				t.Logf("%s:\n%s", e.Name, tail(e.Log(), 60))
-			}
-		}
-	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := d.PutManifest(t.Context(), manifest(1, callerKey)); err != nil {
-		t.Fatal(err)
-	}
-	if err := d.AwaitReady(); err != nil {
-		t.Fatal(err)
+		engines[i] = engineSpec(fmt.Sprint("engine-", i), "tulip")
+		engines[i].Version, engines[i].Events, engines[i].TokenTime = version, 40, 20*time.Millisecond
 	}
+	d := startWith(t, entries, engines...)
 	time.Sleep(versionSettling)
 	return d
 }
--- a/node/entry/admission.go
+++ b/node/entry/admission.go
@@ -239,11 +239,6 @@
 	}
 }
 
-// waitedLongEnough reports whether a call may wait no longer.
-func (r *routing) waitedLongEnough(c *call, now clock.Instant) bool {
-	return !now.Before(c.waitUntil) || r.stopping && !now.Before(r.stopWaitUntil)
-}
-
 // timeToObjective returns the time left until the first event of a call is late.
 func (c *call) timeToObjective(now clock.Instant) time.Duration {
 	return c.request.Arrived.Add(c.admitted.Route.Objective).Sub(now)
@@ -261,30 +256,6 @@
 	r.refuse(c, contract.Refuse(contract.Overloaded, retryAfter, "the queue is longer than the time left"), now)
 }
 
-// priority returns the rank that a call's attempt has at a runner, 0 being the first. An organisation's priority goes
-// before that of the route. Calls that are late in any case come after all others, unless they go on with a stream.
-func (c *call) priority(timely bool) int {
-	rank := c.admitted.Route.Priority
-	if o := c.admitted.Organisation; o != nil && o.Priority != nil {
-		rank = *o.Priority
-	}
-	switch {
-	case c.pinned:
-		return 0
-	case timely:
-		return min(firstTimelyRank+max(0, rank), lastTimelyRank)
-	}
-	return min(lastTimelyRank+1+max(0, rank), lastRank)
-}
-
-// Runners know ten ranks. The first one is for calls that go on with a stream: their callers have its first part, wait no longer
-// than for a pause, and get the rest nowhere else. Then come those that can be in time.
-const (
-	firstTimelyRank = 1
-	lastTimelyRank  = 4
-	lastRank        = 9
-)
-
 // send starts an attempt on the chosen runner.
 func (r *routing) send(c *call, choice link.Choice, now clock.Instant) {
 	r.stopWaiting(c)
@@ -336,46 +307,6 @@
 	return 0
 }
 
-// wait queues a call until a replica is ready or a runner at its rate limit takes one more request, or until it may wait
-// no longer. The planner gets a report at once, since it decides which runner loads the model.
-func (r *routing) wait(c *call, choice link.Choice, now clock.Instant) {
-	if c.heldUntil = 0; choice.Limited {
-		c.heldUntil = now.Add(choice.Retry)
-	}
-	if c.waiting {
-		return
-	}
-	c.waiting = true
-	r.waiting = append(r.waiting, c)
-	if p := r.towardsPlanner(); p != nil && c.artifact.Model != "" {
-		p.urgent = true
-	}
-	r.log.Info("waiting", "request", c.request.ID, "model", c.artifact.Model, "adapter", c.artifact.Adapter,
-		"patience_ms", c.waitUntil.Sub(now).Milliseconds(), "limited", choice.Limited, "planner", r.members.planner)
-}
-
-func (r *routing) stopWaiting(c *call) { c.waiting = false }
-
-// dispatchWaiting dispatches each waiting call again.
-func (r *routing) dispatchWaiting(now clock.Instant) {
-	if len(r.waiting) == 0 {
-		return
-	}
-	for _, c := range r.waiting {
-		if c.waiting {
-			r.dispatch(c, now)
-		}
-	}
-	kept := r.waiting[:0]
-	for _, c := range r.waiting {
-		if c.waiting {
-			kept = append(kept, c)
-		}
-	}
-	clear(r.waiting[len(kept):])
-	r.waiting = kept
-}
-
 // refuseWithCode refuses a call. The refusal says whether the request may have run; if it has not, the caller gets a
 // retry delay.
 func (r *routing) refuseWithCode(c *call, code contract.Code, detail string, now clock.Instant) {
--- a/node/entry/versions.go
+++ b/node/entry/versions.go
@@ -43,12 +43,11 @@
 
 // versionKey is what this VM knows of a service's key.
 type versionKey struct {
-	revision    int64 // as last read; zero: there is none
-	writtenIn   int64 // era that the value states
-	writtenAt   clock.Instant
-	outdatedAt  clock.Instant // since when the record has to change; zero: it is up to date
-	readInEra   int64         // of the last change applied
-	readVersion int64         // revision of the last change applied
+	revision   int64         // as last read; zero: there is none
+	applied    link.Position // of the last change that was applied
+	writtenIn  int64         // era that the value states
+	writtenAt  clock.Instant // last write without an answer
+	outdatedAt clock.Instant // since when the record has to change; zero: it is up to date
 }
 
 func newSoftwareVersions() softwareVersions {
@@ -67,10 +66,10 @@
 func (r *routing) applyVersions(c ownKeyChange, now clock.Instant) {
 	service := contract.ServiceName(strings.TrimPrefix(c.key, prefixVersions))
 	key := r.versions.keys[service]
-	if c.at().Before(link.Position{Era: key.readInEra, Revision: key.readVersion}) {
+	if c.at().Before(key.applied) {
 		return // a later change was applied when it was written
 	}
-	key.readInEra, key.readVersion, key.revision = c.era, c.revision, c.revision
+	key.applied, key.revision = c.at(), c.revision
 	var e versionEntry
 	if err := json.Unmarshal(c.value, &e); c.gone {
 		key.revision, key.writtenIn = 0, noEra
@@ -135,32 +134,36 @@
 		return // runners whose entries the copy lacks are missing
 	}
 	for service := range r.manifest.Services {
-		if !r.manifest.ServesResumableStreams(service) {
-			continue
+		if r.manifest.ServesResumableStreams(service) {
+			v.keys[service] = r.recordVersionsOf(service, now)
 		}
-		key := v.keys[service]
-		_, _, kept := r.versionsOf(service)
-		next, changed := v.book.Next(service, r.fleet.Versions(service), !kept, now)
-		if !changed && (kept || len(r.fleet.Versions(service)) == 0) {
-			key.outdatedAt = 0
-			v.keys[service] = key
-			continue
-		}
-		if key.outdatedAt == 0 {
-			key.outdatedAt = now
-		}
-		takesOver := now.Sub(key.outdatedAt) > versionTakeover
-		if (r.members.planner == r.node || takesOver) && (key.writtenAt == 0 || now.Sub(key.writtenAt) > versionWritePeriod) {
-			key.writtenAt = now
-			r.keyWrites.TryPush(keyWrite{
-				key: prefixVersions + string(service), era: r.era.newest, revision: key.revision,
-				value: versionEntry{Default: next.Default, Undecided: next.Undecided, Others: next.Others, Era: r.era.newest},
-			})
-		}
-		v.keys[service] = key
 	}
 }
 
+// recordVersionsOf writes the record of a service if it has to change, and returns what is known of its key then.
+func (r *routing) recordVersionsOf(service contract.ServiceName, now clock.Instant) versionKey {
+	key, runners := r.versions.keys[service], r.fleet.Versions(service)
+	_, _, kept := r.versionsOf(service)
+	next, changed := r.versions.book.Next(service, runners, !kept, now)
+	if !changed && (kept || len(runners) == 0) {
+		key.outdatedAt = 0
+		return key
+	}
+	if key.outdatedAt == 0 {
+		key.outdatedAt = now
+	}
+	takesOver := now.Sub(key.outdatedAt) > versionTakeover
+	if r.members.planner != r.node && !takesOver || key.writtenAt != 0 && now.Sub(key.writtenAt) <= versionWritePeriod {
+		return key
+	}
+	key.writtenAt = now
+	r.keyWrites.TryPush(keyWrite{
+		key: prefixVersions + string(service), era: r.era.newest, revision: key.revision,
+		value: versionEntry{Default: next.Default, Undecided: next.Undecided, Others: next.Others, Era: r.era.newest},
+	})
+	return key
+}
+
 // keyWritten says that a write of one of mangopass's keys was applied at a position of the store.
 type keyWritten struct {
 	write keyWrite
--- /dev/null
+++ b/node/entry/waiting.go
@@ -0,0 +1,51 @@
+package entry
+
+import (
+	"github.com/mangopass/mangopass/duty/clock"
+	"github.com/mangopass/mangopass/fleet/link"
+)
+
+// waitedLongEnough reports whether a call may wait no longer.
+func (r *routing) waitedLongEnough(c *call, now clock.Instant) bool {
+	return !now.Before(c.waitUntil) || r.stopsSoon(now)
+}
+
+// wait queues a call until a replica is ready or a runner at its rate limit takes one more request, or until it may wait
+// no longer. The planner gets a report at once, since it decides which runner loads the model.
+func (r *routing) wait(c *call, choice link.Choice, now clock.Instant) {
+	if c.heldUntil = 0; choice.Limited {
+		c.heldUntil = now.Add(choice.Retry)
+	}
+	if c.waiting {
+		return
+	}
+	c.waiting = true
+	r.waiting = append(r.waiting, c)
+	if p := r.towardsPlanner(); p != nil && c.artifact.Model != "" {
+		p.urgent = true
+	}
+	r.log.Info("waiting", "request", c.request.ID, "model", c.artifact.Model, "adapter", c.artifact.Adapter,
+		"patience_ms", c.waitUntil.Sub(now).Milliseconds(), "limited", choice.Limited, "planner", r.members.planner)
+}
+
+func (r *routing) stopWaiting(c *call) { c.waiting = false }
+
+// dispatchWaiting dispatches each waiting call again.
+func (r *routing) dispatchWaiting(now clock.Instant) {
+	if len(r.waiting) == 0 {
+		return
+	}
+	for _, c := range r.waiting {
+		if c.waiting {
+			r.dispatch(c, now)
+		}
+	}
+	kept := r.waiting[:0]
+	for _, c := range r.waiting {
+		if c.waiting {
+			kept = append(kept, c)
+		}
+	}
+	clear(r.waiting[len(kept):])
+	r.waiting = kept
+}
