Remove records of streams once, and not at each write while the store fails

A record that a listing shows again, or whose request's ID was used twice, was named twice in one call, and a removal that failed was tried again after each write. Found by reading. Keys are named once, and a failed removal waits for five seconds. A call's runners are asked for their version's state once for each version, not for each runner.

--- a/fleet/link/table.go
+++ b/fleet/link/table.go
@@ -251,10 +251,10 @@
 		if r.Service != req.Artifact.Service || !r.Usable(now) || excluded(req.Exclude, r.ID) {
 			continue
 		}
-		if req.Serves != nil && !req.Serves(r.Version) {
+		if req.Artifact.Model != "" && !r.Replica(req.Artifact.Model).Ready(req.Artifact.Adapter, now) {
 			continue
 		}
-		if req.Artifact.Model != "" && !r.Replica(req.Artifact.Model).Ready(req.Artifact.Adapter, now) {
+		if req.Serves != nil && !req.Serves(r.Version) {
 			continue
 		}
 		if admits, retry := t.Limits.Admits(r, req.Waited, now); !admits {
--- a/node/entry/streamrecords.go
+++ b/node/entry/streamrecords.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -27,6 +28,8 @@
 	maxTxnKeys = 32
 	// recordRetryPause is the time between two tries to write the same records.
 	recordRetryPause = 20 * time.Millisecond
+	// removalRetryPause is the time between two tries to remove records.
+	removalRetryPause = 5 * time.Second
 )
 
 // streamRecord is a record of a stream to be written, or one that an earlier process has left, to be removed in time.
@@ -44,6 +47,8 @@
 	log      *slog.Logger
 	outcomes *prometheus.CounterVec
 	kept     []keptRecord // the oldest first
+
+	nextRemoval time.Time // not before, after one that has failed
 }
 
 // keptRecord is a record in the store.
@@ -109,21 +114,27 @@
 // removeEnded removes the records that nobody asks for any more, many with one call.
 func (s *streamRecorder) removeEnded(ctx context.Context) {
 	for n := min(len(s.kept), maxTxnKeys); n > 0; n = min(len(s.kept), maxTxnKeys) {
-		if last := s.kept[n-1]; time.Now().Before(last.end) && time.Now().Before(s.kept[0].end.Add(machine.StreamMemory)) {
+		now := time.Now()
+		few := now.Before(s.kept[n-1].end) && now.Before(s.kept[0].end.Add(machine.StreamMemory))
+		if few || now.Before(s.nextRemoval) {
 			return
 		}
-		txn := platform.Txn{Era: s.store.Era()}
+		txn, ended := platform.Txn{Era: s.store.Era()}, 0
 		for _, k := range s.kept[:n] {
-			if !time.Now().Before(k.end) {
+			if now.Before(k.end) {
+				break
+			}
+			if ended++; !slices.Contains(txn.Removes, k.key) { // a caller may use an ID twice
 				txn.Removes = append(txn.Removes, k.key)
 			}
 		}
 		if _, outcome, err := s.store.Commit(ctx, txn); outcome != platform.Applied {
+			s.nextRemoval = now.Add(removalRetryPause)
 			s.log.Warn("stream records not removed", "records", len(txn.Removes), "outcome", outcome.String(),
 				"error", errorText(err))
 			return
 		}
-		s.kept = append(s.kept[:0], s.kept[len(txn.Removes):]...)
+		s.kept = append(s.kept[:0], s.kept[ended:]...)
 	}
 }
 
--- a/node/entry/streams.go
+++ b/node/entry/streams.go
@@ -166,7 +166,15 @@
 	case c.pinned:
 		return func(v machine.SoftwareVersion) bool { return v == c.version }
 	case c.admitted.Route.ResumableStream():
-		return func(v machine.SoftwareVersion) bool { return r.beginning(c.service, v, now) != machine.MayNotBegin }
+		begins := make(map[machine.SoftwareVersion]bool) // asked for once for each version, not for each runner
+		return func(v machine.SoftwareVersion) bool {
+			may, known := begins[v]
+			if !known {
+				may = r.beginning(c.service, v, now) != machine.MayNotBegin
+				begins[v] = may
+			}
+			return may
+		}
 	}
 	return nil
 }
