Count the queue in the choice of a runner for a stream that goes on

A request that goes first at a runner was taken to wait for nothing there, so the choice did not see the queues: after a loss of power, all streams that were taken up together went to one runner.

Such a request still counts as in time everywhere, but its wait is that of the requests that are in time, as for others. The new test failed before.

--- a/fleet/link/table.go
+++ b/fleet/link/table.go
@@ -21,7 +21,8 @@
 	Serves func(machine.SoftwareVersion) bool
 	Left   time.Duration // time left until the first event is late
 	Waited bool          // the request has waited for a replica, or for a runner at its rate limit
-	// First says that the request goes before all others that wait at a runner.
+	// First says that the request goes before all others that wait at a runner. It is timely wherever it goes; the queue there
+	// still counts in the choice, since such requests come together after a loss of power.
 	First bool
 }
 
@@ -301,9 +302,7 @@
 func (t *Table) evaluate(r *machine.Runner, req Requirements, hashes []uint64) Choice {
 	tokens := req.PromptTokens - t.Link(r).cache.cachedTokens(hashes, req.Prompt)
 	c := Choice{Runner: r, Prefill: PrefillTime(max(0, tokens)), Wait: t.Queued(r.ID)}
-	if req.First {
-		c.Timely, c.Wait = true, 0
-	} else if ahead := t.timely(r.ID); req.Artifact.Model == "" || ahead+c.Prefill+FirstTokenTime <= req.Left {
+	if ahead := t.timely(r.ID); req.First || req.Artifact.Model == "" || ahead+c.Prefill+FirstTokenTime <= req.Left {
 		c.Timely, c.Wait = true, min(ahead, c.Wait)
 	}
 	return c
--- a/fleet/link/table_test.go
+++ b/fleet/link/table_test.go
@@ -125,3 +125,29 @@
 		}
 	})
 }
+
+// TestRequestsThatGoFirstAreSpread guards against sending the streams that go on after a loss of power to one runner, or where a
+// long queue is, although each of them goes before all that wait there.
+func TestRequestsThatGoFirstAreSpread(t *testing.T) {
+	f, table := machine.NewFleet(), NewTable(zone.Map{"z": "r"}, rand.New(rand.NewPCG(1, 2)))
+	for _, id := range []machine.RunnerID{"r0", "r1"} {
+		f.Announce(machine.Announcement{
+			ID: id, Service: "s", Address: "1.1.1.1:1", Zone: "z", Slots: 32, HasEngine: true,
+			Contents: machine.Contents{Models: []machine.ReportedModel{{Model: "m"}}},
+		}, start)
+	}
+	a := machine.Artifact{Service: "s", Model: "m"}
+	table.Link(f.Get("r0")).Sent(a, 4*time.Second, true)
+	sent := make(map[machine.RunnerID]int)
+	for range 60 {
+		choice, ok := table.Pick(f, Requirements{Artifact: a, PromptTokens: 3840, From: "z", First: true}, start)
+		if !ok || !choice.Timely {
+			t.Fatalf("choice %+v, %v; want a runner, and to be in time there", choice, ok)
+		}
+		table.Link(choice.Runner).Sent(a, choice.Prefill, choice.Timely)
+		sent[choice.Runner.ID]++
+	}
+	if more := sent["r1"] - sent["r0"]; more < 18 || more > 22 {
+		t.Errorf("requests by runner: %v, want 20 more at r1, since r0 has 4 s of them in its queue", sent)
+	}
+}
