Count and log each answer that is cut off, with its cause

A request that had been read could end with an aborted connection, and neither a metric nor a log line said so, or why: the operator had to guess from the last "ended" and "refused" lines whether a runner, the caller, the clock or a decision of this VM was the cause.

Each such end now counts in mangopass_cut_answers_total{cause,by} and has one line "answer cut off" with cause, runner, time since arrival, events that the caller has got, the manifest's version and the time since it came into force. The routing duty names the cause where it decides not to go on; the exchange carries it out, and records it itself only when that duty has ended. A planned stop has a result of its own: it was logged, and told to callers, as a missed deadline. The stop gives the routing duty 50 ms to record requests that it cuts off.

--- a/node/entry/admission.go
+++ b/node/entry/admission.go
@@ -205,7 +205,7 @@
 		return
 	}
 	if c.deadline.Sub(now) < minAttemptTime {
-		r.refuseWithCode(c, contract.DeadlineExceeded, "the deadline has passed", now)
+		r.refuseWithCode(c, cutDeadline, contract.DeadlineExceeded, "the deadline has passed", now)
 		return
 	}
 	choice, ok := r.table.Pick(r.fleet, r.requirements(c, now), now)
@@ -222,9 +222,9 @@
 	case choice.Limited && (!known && now.Add(choice.Retry).After(c.waitUntil) || r.waitedLongEnough(c, now)):
 		r.refuseLimited(c, choice.Retry, now)
 	case !known && !choice.Limited:
-		r.refuseWithCode(c, contract.NoRunner, "no runner of the service is usable", now)
+		r.refuseWithCode(c, cutNoRunner, contract.NoRunner, "no runner of the service is usable", now)
 	case r.waitedLongEnough(c, now):
-		r.refuseWithCode(c, contract.NoReplica, "no runner holds the model", now)
+		r.refuseWithCode(c, cutNoReplica, contract.NoReplica, "no runner holds the model", now)
 	default:
 		r.wait(c, choice, now)
 	}
@@ -249,7 +249,7 @@
 // that the callers refused now don't return together.
 func (r *routing) refuseQueued(c *call, queued time.Duration, now clock.Instant) {
 	if c.runs > 0 {
-		r.refuse(c, contract.Failed(contract.Overloaded, "the queue is longer than the time left"), now)
+		r.abandon(c, cutQueue, contract.Failed(contract.Overloaded, "the queue is longer than the time left"), now)
 		return
 	}
 	retryAfter := queued/2 + time.Duration(r.rand.Int64N(int64(queued/2)+1))
@@ -283,7 +283,7 @@
 	}
 	a.silenceTimeout = silenceTimeout(route, a, c.deadline.Sub(now))
 	a.ctx, a.cancel = context.WithCancelCause(c.ctx)
-	c.cancel, r.inFlight[c] = a.cancel, true
+	c.runner, c.cancel, r.inFlight[c] = runner.ID, a.cancel, true
 	r.table.Limits.Sent(runner, now)
 	r.table.Link(runner).Sent(c.artifact, choice.Prefill, choice.Timely)
 	r.log.Info("sent", "request", c.request.ID, "route", route.Name, "runner", runner.ID, "version", runner.Version,
@@ -308,10 +308,10 @@
 }
 
 // refuseWithCode refuses a call. The refusal says whether the request may have run; if it has not, the caller gets a
-// retry delay.
-func (r *routing) refuseWithCode(c *call, code contract.Code, detail string, now clock.Instant) {
+// retry delay. cause is the one of an answer that has begun.
+func (r *routing) refuseWithCode(c *call, cause cutCause, code contract.Code, detail string, now clock.Instant) {
 	if c.runs > 0 {
-		r.refuse(c, contract.Failed(code, "%s", detail), now)
+		r.abandon(c, cause, contract.Failed(code, "%s", detail), now)
 		return
 	}
 	retryAfter := replicaRetryAfter
@@ -324,6 +324,14 @@
 	r.refuse(c, contract.Refuse(code, retryAfter, "%s", detail), now)
 }
 
+// abandon ends a call that a runner may have run. If its answer has begun, the exchange cuts it off, for the given cause.
+func (r *routing) abandon(c *call, cause cutCause, refusal *contract.Refusal, now clock.Instant) {
+	if c.streaming {
+		r.noteCut(c, cause, now)
+	}
+	r.refuse(c, refusal, now)
+}
+
 // refuse ends a call without a runner's answer. The cost of a call that was never sent is refunded to its quota.
 func (r *routing) refuse(c *call, refusal *contract.Refusal, now clock.Instant) {
 	r.stopWaiting(c)
@@ -364,4 +372,5 @@
 		"waited_ms", now.Sub(c.request.Arrived).Milliseconds())
 	r.metrics.results.WithLabelValues(resultCallerGone.String()).Inc()
 	r.metrics.request.WithLabelValues(resultCallerGone.String()).Observe(now.Sub(c.request.Arrived).Seconds())
+	r.noteCut(c, cutCallerGone, now)
 }
--- a/node/entry/attempts.go
+++ b/node/entry/attempts.go
@@ -36,7 +36,7 @@
 // ended it.
 func (m attemptEnded) apply(r *routing, now clock.Instant) {
 	c := m.call
-	c.streaming = c.streaming || m.streaming
+	c.streaming, c.passedOn = c.streaming || m.streaming, m.sent
 	if m.started {
 		r.noteBegun(c, m.attempt, now)
 	}
@@ -61,6 +61,9 @@
 	}
 	if m.final {
 		r.metrics.request.WithLabelValues(m.result.String()).Observe(now.Sub(c.request.Arrived).Seconds())
+		if m.result == resultCallerGone {
+			r.noteCut(c, cutCallerGone, now)
+		}
 		return
 	}
 	if m.result != resultNoReplica { // the runner stays eligible: it may hold the model a moment later
@@ -114,32 +117,43 @@
 // budget unless the runner could not be reached.
 func (r *routing) retry(c *call, m attemptEnded, now clock.Instant) {
 	route, taken := c.admitted.Route, c.retryTaken
-	c.retryTaken = false
+	c.retryTaken, c.givenUp = false, c.givenUp || taken
 	switch {
 	case m.result == resultTimeout:
-		r.refuse(c, contract.Failed(contract.DeadlineExceeded, "no answer within the deadline"), now)
+		r.abandon(c, cutDeadline, contract.Failed(contract.DeadlineExceeded, "no answer within the deadline"), now)
+		return
+	case m.result == resultStopped:
+		r.abandon(c, cutStopped, contract.Failed(contract.Stopping, "the VM was stopped before the answer was complete"), now)
 		return
 	case m.result == resultWithdrawn:
-		r.refuse(c, contract.Failed(contract.CrashSuspect, "a part of the prompt has crashed several runners"), now)
+		r.abandon(c, cutPartBlocked, contract.Failed(contract.CrashSuspect, "a part of the prompt has crashed several runners"), now)
 		return
 	case m.result == resultUnrecorded:
 		r.streams.pausedUntil = now.Add(recordPause)
-		r.refuse(c, contract.Failed(contract.StreamUnrecorded, "what began the stream could not be recorded"), now)
+		r.abandon(c, cutUnrecorded, contract.Failed(contract.StreamUnrecorded, "what began the stream could not be recorded"), now)
 		return
 	case m.result == resultBroken && m.attempt.artifact.Model != "" && !c.streaming:
 		r.countCrash(c.request.Digest, "", now)
 		if r.crashes.Blocked(c.request.Digest, now) {
-			r.refuse(c, contract.Failed(contract.RunnerFailed, "the request broke off at several runners"), now)
+			r.abandon(c, cutCrashing, contract.Failed(contract.RunnerFailed, "the request broke off at several runners"), now)
 			return
 		}
 	}
 	if !m.result.notExecuted() && (!route.Repeatable() || c.runs >= route.MaxAttempts) {
-		r.refuse(c, contract.Failed(contract.RunnerFailed, "the runner gave no whole answer"), now)
+		cause := cutBrokenOff
+		if c.givenUp {
+			cause = cutSilence
+		}
+		r.abandon(c, cause, contract.Failed(contract.RunnerFailed, "the runner gave no whole answer"), now)
+		return
+	}
+	if c.sends >= maxSends {
+		r.refuseWithCode(c, cutSends, contract.RunnerFailed, "the request was sent too often", now)
 		return
 	}
 	mayRetry := taken || m.result == resultUnreachable || r.retryBudget(c.service).Take(r.members.count(), now)
-	if c.sends >= maxSends || !mayRetry {
-		r.refuseWithCode(c, contract.RunnerFailed, "the retry budget is spent", now)
+	if !mayRetry {
+		r.refuseWithCode(c, cutRetryBudget, contract.RunnerFailed, "the retry budget is spent", now)
 		return
 	}
 	if r.refuseLostStream(c, now) {
--- a/node/entry/callers.go
+++ b/node/entry/callers.go
@@ -25,6 +25,7 @@
 	node          string
 	routing       *ring.Ring[message]
 	streamRecords *ring.Ring[streamRecord]
+	cuts          cutLog
 	runners       *platform.RunnerClient
 	bodyLimit     *atomic.Int64   // bytes; set by the routing duty from the manifest
 	cutoff        context.Context // cancelled when a planned stop waits no longer for answers
@@ -75,7 +76,7 @@
 	writeRefusal func(w http.ResponseWriter, id string, refusal *contract.Refusal)
 
 	headWritten bool
-	lastEventID string // ID of the last event sent to the caller; a resumed stream continues after it
+	sent        passedOn // a resumed stream continues after its last event
 	flusher     *http.ResponseController
 }
 
@@ -97,7 +98,11 @@
 			return
 		}
 		end := x.attempt(d.attempt)
-		if x.routing.Push(context.WithoutCancel(x.call.ctx), end) != nil || end.final {
+		if x.routing.Push(context.WithoutCancel(x.call.ctx), end) != nil {
+			x.abortAtProcessEnd(end)
+			return
+		}
+		if end.final {
 			x.abortIfIncomplete(end)
 			return
 		}
@@ -121,6 +126,15 @@
 	}
 }
 
+// abortAtProcessEnd aborts the caller's connection if the answer is incomplete and the routing duty has ended, so that it
+// can neither decide how the call goes on nor record its end.
+func (x *exchange) abortAtProcessEnd(end attemptEnded) {
+	if end.result != resultServed {
+		x.cuts.record(x.call, cutProcessEnds, x.sent, clock.Now(), "runner", end.attempt.runner)
+	}
+	x.abortIfIncomplete(end)
+}
+
 // reportCancel tells the routing duty that the caller has disconnected. If the duty has decided on an attempt by then, it
 // takes the decision back.
 func (x *exchange) reportCancel() {
@@ -164,6 +178,7 @@
 		}
 		end.answering = clock.Now().Sub(answeredAt)
 	}
+	end.sent = x.sent
 	end.took, end.cause, end.lost = clock.Now().Sub(begin), err, platform.ConnectionLost(err)
 	if end.result == resultServed && err != nil {
 		end.result = x.classify(ctx, err)
@@ -189,7 +204,7 @@
 	}
 	return x.runners.Send(ctx, x.payload, platform.Attempt{
 		Runner: a.runner, Address: a.address, Organisation: a.organisation, Remaining: a.deadline.Sub(clock.Now()),
-		Priority: a.priority, LastEvent: x.lastEventID,
+		Priority: a.priority, LastEvent: x.sent.lastEvent,
 	})
 }
 
@@ -229,8 +244,10 @@
 // classify maps the error of an attempt to a result.
 func (x *exchange) classify(ctx context.Context, err error) result {
 	switch cause := context.Cause(ctx); {
-	case errors.Is(cause, errDeadline), errors.Is(cause, errStopping):
+	case errors.Is(cause, errDeadline):
 		return resultTimeout
+	case errors.Is(cause, errStopping):
+		return resultStopped
 	case errors.Is(cause, errBlocked):
 		return resultWithdrawn
 	case x.call.ctx.Err() != nil:
@@ -326,7 +343,11 @@
 		return errors.Wrap(err, "write to caller")
 	}
 	if event.ID != "" {
-		x.lastEventID = event.ID
+		x.sent.lastEvent = event.ID
+	}
+	if err := x.flusher.Flush(); err != nil {
+		return errors.Wrap(err, "flush to caller")
 	}
-	return errors.Wrap(x.flusher.Flush(), "flush to caller")
+	x.sent.events++
+	return nil
 }
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -43,6 +43,8 @@
 	// the part before it, kept for refusing requests whose runners have not answered.
 	stopReserve   = 400 * time.Millisecond
 	answerReserve = 400 * time.Millisecond
+	// recordTime is the time for the handlers of requests that were cut off to end, and for the routing duty to record them.
+	recordTime = 50 * time.Millisecond
 	// ordersCapacity limits the orders and state queries that wait for a duty to send them.
 	ordersCapacity = 64
 	// feedsCapacity limits the feeds of the store that the watch has not read yet. One that finds the ring full is left
@@ -83,7 +85,7 @@
 	e.cancelRequests = cancel
 	streamRecords := ring.New[streamRecord]("stream records", streamRecordCapacity)
 	e.callHandler = &callHandler{
-		node: e.settings.ID, routing: e.routing.intake, streamRecords: streamRecords, runners: runners, bodyLimit: &e.routing.bodyLimit, cutoff: cutoff,
+		node: e.settings.ID, cuts: e.routing.cuts, routing: e.routing.intake, streamRecords: streamRecords, runners: runners, bodyLimit: &e.routing.bodyLimit, cutoff: cutoff,
 	}
 	e.startDuties(runners, registry, boot)
 	if err := e.listen(registry); err != nil {
@@ -235,6 +237,9 @@
 	for _, s := range e.servers {
 		_ = s.Close()
 	}
+	if open > 0 {
+		duty.Pause(context.Background(), recordTime)
+	}
 	e.group.Stop()
 	return open
 }
--- a/node/entry/limits.go
+++ b/node/entry/limits.go
@@ -94,7 +94,7 @@
 func (r *routing) refuseLimited(c *call, retry time.Duration, now clock.Instant) {
 	const detail = "the runners of the model or service are at their rate limits or have asked for a pause"
 	if c.runs > 0 {
-		r.refuse(c, contract.Failed(contract.Overloaded, detail), now)
+		r.abandon(c, cutLimits, contract.Failed(contract.Overloaded, detail), now)
 		return
 	}
 	retry = max(retry, minLimitRetryAfter)
--- a/node/entry/message.go
+++ b/node/entry/message.go
@@ -37,6 +37,10 @@
 	exclude   []machine.RunnerID
 	cancel    context.CancelCauseFunc // ends the attempt in progress; nil: there is none
 	streaming bool                    // part of the answer has been sent to the caller
+	passedOn  passedOn                // by the attempts that have ended
+	runner    machine.RunnerID        // of the last attempt
+	givenUp   bool                    // an attempt was given up because its runner was silent
+	cut       bool                    // that the answer is cut off has been recorded
 	pinned    bool                    // its stream has begun and goes on only at runners of version
 	version   machine.SoftwareVersion // that began the stream
 
@@ -84,6 +88,7 @@
 	resultBroken             // no complete answer; the request may have run
 	resultFailed             // a server error to a safe request, which another runner may still answer
 	resultTimeout            // the deadline has passed
+	resultStopped            // a planned stop waited no longer
 	resultCallerGone         // the caller has disconnected
 	resultWithdrawn          // cancelled by the routing duty; the request may have run
 	resultUnrecorded         // the stream has begun, and what began it could not be recorded
@@ -91,7 +96,7 @@
 
 // String returns the result's name for logs and metrics.
 func (r result) String() string {
-	return [...]string{"served", "unreachable", "shed", "no_replica", "broken", "failed", "timeout", "gone",
+	return [...]string{"served", "unreachable", "shed", "no_replica", "broken", "failed", "timeout", "stopped", "gone",
 		"withdrawn", "unrecorded"}[r]
 }
 
@@ -138,6 +143,7 @@
 	started       bool          // the first event has arrived
 	startReported bool          // attemptStarted was pushed; the ring was not full
 	streaming     bool          // events have been sent to the caller
+	sent          passedOn      // to the caller, by all attempts
 	final         bool
 }
 
--- a/node/entry/metrics.go
+++ b/node/entry/metrics.go
@@ -15,6 +15,7 @@
 	sent         prometheus.Counter
 	results      *prometheus.CounterVec
 	refused      *prometheus.CounterVec
+	cutAnswers   *prometheus.CounterVec
 	orders       *prometheus.CounterVec
 	firstEvent   prometheus.Histogram
 	request      *prometheus.HistogramVec
@@ -50,6 +51,10 @@
 			Namespace: metrics.Namespace, Name: "refused_total",
 			Help: "Requests that ended without a runner's answer, by reason.",
 		}, []string{"code"}),
+		cutAnswers: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: metrics.Namespace, Name: "cut_answers_total",
+			Help: "Requests whose connection was ended without a complete answer, by cause and by whose it is.",
+		}, []string{"cause", "by"}),
 		orders: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: metrics.Namespace, Name: "orders_total", Help: "Orders to runners by kind and outcome.",
 		}, []string{"kind", "outcome"}),
@@ -97,9 +102,12 @@
 		m.takeUps.WithLabelValues(string(source))
 	}
 	m.streamRecords.WithLabelValues(platform.Applied.String())
+	for _, cause := range cutCauses() {
+		m.cutAnswers.WithLabelValues(string(cause), string(cause.by()))
+	}
 	r.MustRegister(m.sent, m.results, m.refused, m.orders, m.firstEvent, m.request, m.manifest, m.manifestAge,
 		m.runners, m.peers, m.shards, m.waiting, m.planner, m.blockedParts, m.pauses, m.rejectedStatements,
-		m.takeUps, m.streamRecords)
+		m.takeUps, m.streamRecords, m.cutAnswers)
 	return m
 }
 
--- a/node/entry/parts.go
+++ b/node/entry/parts.go
@@ -141,7 +141,7 @@
 // refuseBlocked refuses a call that was admitted before a part of its prompt was blocked.
 func (r *routing) refuseBlocked(c *call, part uint64, now clock.Instant) {
 	if c.runs > 0 {
-		r.refuse(c, contract.Failed(contract.CrashSuspect, blockedPartDetail, part), now)
+		r.abandon(c, cutPartBlocked, contract.Failed(contract.CrashSuspect, blockedPartDetail, part), now)
 		return
 	}
 	r.refuse(c, contract.Refuse(contract.CrashSuspect, 0, blockedPartDetail, part), now)
--- a/node/entry/routing.go
+++ b/node/entry/routing.go
@@ -40,6 +40,7 @@
 	rules         settings.Rules
 	log           *slog.Logger
 	metrics       *entryMetrics
+	cuts          cutLog
 	intake        *ring.Ring[message]
 	rand          *rand.Rand
 	lastTick      clock.Instant
@@ -52,6 +53,7 @@
 	manifest         *contract.Manifest
 	freshness        link.Freshness
 	era              storeEra
+	manifestSince    clock.Instant        // when this VM put the manifest in force
 	manifestAt       link.Position        // of the last write of the manifest in force
 	changes          *link.ChangeLog      // of the store, as far as the VMs below need them
 	feeds            *ring.Ring[storeFed] // to the watch
@@ -82,6 +84,7 @@
 	random := rand.New(rand.NewPCG(uint64(boot), uint64(len(s.ID))))
 	r := &routing{
 		node: s.ID, address: s.AdvertisedAddress(), zone: zone.ID(s.Zone), boot: boot, rules: s.Rules, log: log, metrics: m,
+		cuts: cutLog{log: log, counter: m.cutAnswers},
 		rand: random, intake: ring.New[message]("routing", intakeCapacity),
 		freshness: link.NewFreshness(freshnessBound(s.Rules)), changes: link.NewChangeLog(), fleet: machine.NewFleet(),
 		table:        link.NewTable(s.Zones, random),
--- a/node/entry/storechanges.go
+++ b/node/entry/storechanges.go
@@ -104,7 +104,7 @@
 	}
 	r.log.Info("manifest in force", "version", m.Version, "before", r.manifestVersion(),
 		"revision", revision)
-	r.manifest = m
+	r.manifest, r.manifestSince = m, now
 	if m.BodyBytes > 0 {
 		r.bodyLimit.Store(m.BodyBytes)
 	}
--- a/node/entry/streams.go
+++ b/node/entry/streams.go
@@ -154,7 +154,7 @@
 	if !c.pinned || r.fleet.HasUsable(c.service, c.version, now) {
 		return false
 	}
-	r.refuse(c, &contract.Refusal{
+	r.abandon(c, cutVersionGone, &contract.Refusal{
 		Code: contract.StreamLost, MayHaveRun: c.runs > 0, Detail: "no runner has the software version that began the stream",
 	}, now)
 	return true
--- a/node/explain/explain.go
+++ b/node/explain/explain.go
@@ -53,6 +53,9 @@
 	SilentMs   int64     `json:"silent_ms,omitempty"`
 	GivenUp    bool      `json:"given_up,omitempty"`
 	MayHaveRun bool      `json:"may_have_run,omitempty"`
+	By         string    `json:"by,omitempty"`
+	Events     int       `json:"events,omitempty"`
+	InForceMs  int64     `json:"manifest_in_force_ms,omitempty"`
 	Final      bool      `json:"final,omitempty"`
 }
 
@@ -168,6 +171,9 @@
 			text += " (" + l.Cause + ")"
 		}
 		return text
+	case "answer cut off":
+		return fmt.Sprintf("the answer is cut off after %d events: %s (%s, by the %s; manifest %d in force for %d ms)",
+			l.Events, cutText(l), l.Cause, l.By, l.Manifest, l.InForceMs)
 	case "caller gone":
 		return fmt.Sprintf("the caller aborted the request %d ms after arrival", l.WaitedMs)
 	case "order":
@@ -247,12 +253,44 @@
 	"runner_failed":     "the runner gave no complete answer and the request must not be repeated",
 }
 
+// cutTexts explains each cause of an "answer cut off" line.
+var cutTexts = map[string]string{
+	"runner_broke_off":        "the runner broke off, and the route allows no further attempt",
+	"deadline":                "the caller's deadline or the route's timeout was reached",
+	"caller_gone":             "the caller disconnected or did not read",
+	"given_up_for_silence":    "a silent runner was given up, and the attempt after that broke off too",
+	"retry_budget_spent":      "the runner broke off, and the retry budget was spent",
+	"sends_spent":             "the request had been sent too often",
+	"no_runner":               "no runner of the service was usable to go on",
+	"no_replica":              "no runner with the model could go on in time",
+	"queue_too_long":          "the queues of all runners that could go on were longer than the time left",
+	"runners_at_limits":       "all runners that could go on were at their rate limits or had asked for a pause",
+	"version_gone":            "no usable runner has the software version that began the stream",
+	"not_recorded":            "what began the stream could not be recorded",
+	"prompt_part_blocked":     "a part of the prompt was blocked because it crashes runners",
+	"request_crashes_runners": "the request broke off at several runners",
+	"planned_stop":            "a planned stop waited no longer",
+	"process_ending":          "the process was ending",
+}
+
+// cutText returns the cause of an "answer cut off" line as a phrase.
+func cutText(l Line) string {
+	if text := cutTexts[l.Cause]; text != "" {
+		return text
+	}
+	return l.Cause
+}
+
 // cause summarises the outcome of a request in one sentence.
 func cause(requestLines []Line) string {
 	last := requestLines[len(requestLines)-1]
 	attempts := 0
 	failure := ""
-	for _, l := range requestLines {
+	var cut *Line
+	for i, l := range requestLines {
+		if l.Message == "answer cut off" {
+			cut = &requestLines[i]
+		}
 		if l.Message == "sent" {
 			attempts++
 		}
@@ -261,6 +299,11 @@
 		}
 	}
 	switch {
+	case cut != nil && cut.By == "caller":
+		return fmt.Sprintf("The caller aborted the request before the answer was complete, after %d events%s.", cut.Events, failure)
+	case cut != nil:
+		return fmt.Sprintf("The answer was cut off after %d events, %d ms after arrival: %s (%s)%s. Manifest %d had been in force "+
+			"for %d ms.", cut.Events, cut.WaitedMs, cutText(*cut), cut.Cause, failure, cut.Manifest, cut.InForceMs)
 	case last.Message == "refused":
 		return fmt.Sprintf("Refused with %s: %s%s.", last.Code, refusalTexts[last.Code], failure)
 	case last.Message == "ended" && last.Result == "served":
--- a/node/explain/explain_test.go
+++ b/node/explain/explain_test.go
@@ -21,10 +21,14 @@
 {"time":"2026-01-01T00:00:00.4Z","msg":"ended","node":"n1","request":"p","runner":"r","result":"served","took_ms":100,"final":true}
 {"time":"2026-01-01T00:00:02.0Z","msg":"stream taken up","node":"n1","request":"up","resumes":"p","version":"v7","source":"store"}
 {"time":"2026-01-01T00:00:02.1Z","msg":"sent","node":"n1","request":"up","runner":"r","version":"v7","goes_on":true,"attempt":1}
+{"time":"2026-01-01T00:00:03.0Z","msg":"ended","node":"n1","request":"cut","runner":"r","result":"broken","took_ms":700}
+{"time":"2026-01-01T00:00:03.0Z","msg":"answer cut off","node":"n1","request":"cut","cause":"retry_budget_spent","by":"system","waited_ms":700,"events":3,"last_event":"e3","runner":"r","manifest":7,"manifest_in_force_ms":2100}
+{"time":"2026-01-01T00:00:03.0Z","msg":"refused","node":"n1","request":"cut","code":"runner_failed","may_have_run":true}
+{"time":"2026-01-01T00:00:04.0Z","msg":"answer cut off","node":"n1","request":"left","cause":"caller_gone","by":"caller","events":2}
 `
 
 // TestBuildTimeline guards against a timeline that misses steps of other nodes, orders for the request's model or
-// delays of its load or a pause that its runner asked for, that includes those of other models or VMs, or that names a wrong
+// delays of its load, a pause that its runner asked for or why its answer was cut off, that includes those of other models or VMs, or that names a wrong
 // cause. The log has the lines of two nodes, partly out of order and with other text between them.
 func TestBuildTimeline(t *testing.T) {
 	lines, err := Read(strings.NewReader(logText))
@@ -65,6 +69,14 @@
 		!strings.HasSuffix(up.Steps[1].Text, "goes on at software version v7") {
 		t.Errorf("steps %+v, want the stream that is taken up and its version", up.Steps)
 	}
+	if cut, _ := BuildTimeline(lines, "cut"); cut.Cause != "The answer was cut off after 3 events, 700 ms after arrival: the runner "+
+		"broke off, and the retry budget was spent (retry_budget_spent); the last failed attempt was at runner r: broken. "+
+		"Manifest 7 had been in force for 2100 ms." || !strings.Contains(cut.Steps[1].Text, "by the system; manifest 7 in force for 2100 ms") {
+		t.Errorf("cause %q, steps %+v, want why the answer was cut off", cut.Cause, cut.Steps)
+	}
+	if left, _ := BuildTimeline(lines, "left"); !strings.HasPrefix(left.Cause, "The caller aborted the request") {
+		t.Errorf("cause %q, want the caller's", left.Cause)
+	}
 	if _, err := BuildTimeline(lines, "none"); !errors.Is(err, ErrNotFound) {
 		t.Errorf("error %v", err)
 	}
