Refuse a call whose attempt fails after the routing duty has ended

When the end of an attempt could not be pushed to the routing duty's ring, the handler returned without a word unless part of a stream had been sent, and net/http then wrote an empty answer with status 200: a success that never was. The ring is not closed by any code today, so no caller has seen it; the first duty that closes it at the end would have brought it.

The exchange now refuses the call: 503 if no attempt can have run, else 502. An answer that has begun is aborted as before, and recorded.

--- a/node/entry/callers.go
+++ b/node/entry/callers.go
@@ -76,6 +76,7 @@
 	writeRefusal func(w http.ResponseWriter, id string, refusal *contract.Refusal)
 
 	headWritten bool
+	mayHaveRun  bool // a runner may have begun to run the request
 	sent        passedOn // a resumed stream continues after its last event
 	flusher     *http.ResponseController
 }
@@ -98,8 +99,9 @@
 			return
 		}
 		end := x.attempt(d.attempt)
+		x.mayHaveRun = x.mayHaveRun || !end.result.notExecuted()
 		if x.routing.Push(context.WithoutCancel(x.call.ctx), end) != nil {
-			x.abortAtProcessEnd(end)
+			x.endUndecided(end)
 			return
 		}
 		if end.final {
@@ -126,13 +128,17 @@
 	}
 }
 
-// abortAtProcessEnd aborts the caller's connection if the answer is incomplete and the routing duty has ended, so that it
-// can neither decide how the call goes on nor record its end.
-func (x *exchange) abortAtProcessEnd(end attemptEnded) {
-	if end.result != resultServed {
+// endUndecided ends a call after an attempt that the routing duty, which has ended, can neither decide on nor record.
+func (x *exchange) endUndecided(end attemptEnded) {
+	if end.result == resultServed {
+		return
+	}
+	if x.headWritten {
 		x.cuts.record(x.call, cutProcessEnds, x.sent, clock.Now(), "runner", end.attempt.runner)
 	}
-	x.abortIfIncomplete(end)
+	refusal := contract.Refuse(contract.Stopping, stoppingRetryAfter, "the VM is being stopped")
+	refusal.MayHaveRun = x.mayHaveRun
+	x.refuse(refusal)
 }
 
 // reportCancel tells the routing duty that the caller has disconnected. If the duty has decided on an attempt by then, it
--- a/node/entry/callers_test.go
+++ b/node/entry/callers_test.go
@@ -13,9 +13,7 @@
 // TestBothFrontEndsCountOpenRequests guards against a planned stop that cuts off requests of one front end without saying
 // so: both count their open requests, and ask for the end of the connection once the stop has begun.
 func TestBothFrontEndsCountOpenRequests(t *testing.T) {
-	for name, newFrontEnd := range map[string]func(*callHandler) http.Handler{
-		"platform": func(h *callHandler) http.Handler { return h }, "API": newAPI,
-	} {
+	for name, newFrontEnd := range frontEnds {
 		limit := new(atomic.Int64)
 		limit.Store(1 << 20)
 		h := &callHandler{routing: ring.New[message]("routing", 1), bodyLimit: limit}
--- /dev/null
+++ b/node/entry/missing_test.go
@@ -0,0 +1,50 @@
+package entry
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/mangopass/mangopass/fleet/machine"
+)
+
+// TestEndOfProcessIsNoSuccess guards against an empty answer with status 200, which a caller takes for a success: the routing
+// duty had ended when an attempt failed, so that nobody decided how the call went on.
+func TestEndOfProcessIsNoSuccess(t *testing.T) {
+	for name, c := range map[string]struct {
+		route    string
+		answer   func(id string) string
+		status   int // zero: the connection ends
+		complete bool
+	}{
+		"the runner broke off": {"stock", func(string) string { return "" }, http.StatusBadGateway, true},
+		"the runner did not run it": {"stock", func(id string) string {
+			return headOf(id, "503 Busy") + "X-Mangopass-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+		}, http.StatusServiceUnavailable, true},
+		"the stream broke off": {"chat", func(id string) string {
+			return headOf(id, "200 OK") + streamHead + firstEvent + "id: 2\nda"
+		}, http.StatusOK, false},
+	} {
+		for frontEnd, handler := range frontEnds {
+			t.Run(name+", "+frontEnd, func(t *testing.T) {
+				d := newDeployment(t, handler)
+				for _, service := range []string{"s", "e"} {
+					d.addRunner(t, machine.RunnerID(service+"1"), service, func(_ int, id string, conn net.Conn) {
+						d.intake.Close()
+						_, _ = io.WriteString(conn, c.answer(id))
+						_ = conn.Close()
+					})
+				}
+				d.route(t)
+				got := d.ask(t, d.request(frontEnd, c.route))
+				if got.status != c.status || got.complete != c.complete {
+					t.Errorf("the caller got %v, want status %d, complete %v", got, c.status, c.complete)
+				}
+				if !c.complete && !d.cuts.has(cutProcessEnds) {
+					t.Errorf("log lines %v, want one with %s", d.cuts.lines, cutProcessEnds)
+				}
+			})
+		}
+	}
+}
