End the connection of a caller that seems gone, in place of an empty 200

net/http ends a request's context when it reads the end of the caller's stream, also if the caller has closed only its side and still reads. The handler then returned without a word, unless part of a stream had been sent, and net/http wrote an empty answer with status 200: a false success, while the request waited for a replica as well as while a runner worked on it.

The handler now aborts the connection in both cases, which promises nothing. Callers that have really gone see no difference. Such ends count as caller_gone.

--- a/node/entry/callers.go
+++ b/node/entry/callers.go
@@ -76,7 +76,7 @@
 	writeRefusal func(w http.ResponseWriter, id string, refusal *contract.Refusal)
 
 	headWritten bool
-	mayHaveRun  bool // a runner may have begun to run the request
+	mayHaveRun  bool     // a runner may have begun to run the request
 	sent        passedOn // a resumed stream continues after its last event
 	flusher     *http.ResponseController
 }
@@ -105,7 +105,7 @@
 			return
 		}
 		if end.final {
-			x.abortIfIncomplete(end)
+			x.abortIfUnanswered(end)
 			return
 		}
 	}
@@ -121,9 +121,10 @@
 	_ = http.NewResponseController(x.w).SetWriteDeadline(end) // only writers that are no connections know no deadlines
 }
 
-// abortIfIncomplete aborts the caller's connection if part of an answer was sent and the rest failed.
-func (x *exchange) abortIfIncomplete(end attemptEnded) {
-	if end.result != resultServed && x.headWritten {
+// abortIfUnanswered aborts the caller's connection if the last attempt gave no whole answer: the caller is gone. net/http also
+// says so if the caller has closed only its side of the connection, and would write an empty answer with status 200.
+func (x *exchange) abortIfUnanswered(end attemptEnded) {
+	if end.result != resultServed {
 		panic(http.ErrAbortHandler)
 	}
 }
@@ -141,13 +142,11 @@
 	x.refuse(refusal)
 }
 
-// reportCancel tells the routing duty that the caller has disconnected. If the duty has decided on an attempt by then, it
-// takes the decision back.
+// reportCancel tells the routing duty that the caller has disconnected, and aborts the connection, since nothing or only a part
+// of an answer has been written. If the duty has decided on an attempt by then, it takes the decision back.
 func (x *exchange) reportCancel() {
 	_ = x.routing.Push(context.WithoutCancel(x.call.ctx), callCancelled{call: x.call})
-	if x.headWritten {
-		panic(http.ErrAbortHandler)
-	}
+	panic(http.ErrAbortHandler)
 }
 
 // refuse writes a refusal, or aborts the connection if part of an answer has been sent.
--- a/node/entry/missing_test.go
+++ b/node/entry/missing_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/mangopass/mangopass/fleet/machine"
 )
@@ -48,3 +49,37 @@
 		}
 	}
 }
+
+// TestHalfClosedConnectionGetsNoSuccess guards against an empty answer with status 200 to a caller that has closed its side of
+// the connection, which net/http reports like its end: while the request waits for a replica, and while it is at a runner.
+func TestHalfClosedConnectionGetsNoSuccess(t *testing.T) {
+	for _, atRunner := range []bool{false, true} {
+		for frontEnd, handler := range frontEnds {
+			d := newDeployment(t, handler)
+			arrived, done := make(chan struct{}), make(chan struct{})
+			if atRunner {
+				d.addRunner(t, "e1", "e", func(int, string, net.Conn) {
+					close(arrived)
+					<-done
+				})
+			}
+			d.route(t)
+			caller := d.dial(t, d.request(frontEnd, "chat"))
+			if atRunner {
+				<-arrived
+			} else {
+				time.Sleep(100 * time.Millisecond)
+			}
+			if err := caller.(*net.TCPConn).CloseWrite(); err != nil {
+				t.Fatal(err)
+			}
+			if got := readAnswer(caller); got.status != 0 {
+				t.Errorf("%s, at a runner %v: the caller got %v, want the end of its connection", frontEnd, atRunner, got)
+			}
+			if !d.cuts.has(cutCallerGone) {
+				t.Errorf("%s, at a runner %v: log lines %v, want one with %s", frontEnd, atRunner, d.cuts.lines, cutCallerGone)
+			}
+			close(done)
+		}
+	}
+}
