--- a/node/entry/missing_test.go
+++ b/node/entry/missing_test.go
@@ -83,3 +83,28 @@
 		}
 	}
 }
+
+// TestOddStatusOfRunnerIsAnswered guards against a runner whose status net/http does not write, so that the handler panicked:
+// the caller got no answer, no line said so, and the attempt counted as running for good.
+func TestOddStatusOfRunnerIsAnswered(t *testing.T) {
+	for _, status := range []string{"099 Odd", "000 Odd", "999 Odd", "600 Odd", "204 Nothing", "101 Switching Protocols"} {
+		for frontEnd, handler := range frontEnds {
+			d := newDeployment(t, handler)
+			for _, id := range []string{"r1", "r2"} {
+				d.addRunner(t, machine.RunnerID(id), "s", func(_ int, id string, conn net.Conn) {
+					_, _ = io.WriteString(conn, headOf(id, status)+"Content-Length: 0\r\n\r\n")
+					_ = conn.Close()
+				})
+			}
+			stop := d.route(t)
+			if got := d.ask(t, d.request(frontEnd, "confirm")); got.status == 0 || !got.complete {
+				t.Errorf("%s, status %s: the caller got %v, want an answer", frontEnd, status, got)
+			}
+			time.Sleep(100 * time.Millisecond)
+			stop()
+			if len(d.inFlight) != 0 || len(d.table.Below()) != 0 {
+				t.Errorf("%s, status %s: %d calls in flight, loads %+v after the end", frontEnd, status, len(d.inFlight), d.table.Below())
+			}
+		}
+	}
+}
