Log and count a panic of a request's handler

net/http recovers a panic of a handler and writes it to the server's error log, which the entry VM discards, so a request could end without an answer and without any trace.

The exchange now records it as a cut answer with the cause "panic", the panic's text and its stack, and lets the server end the connection as before.

TestPanicOfHandlerIsRecorded is new; it can't pass without the recording. Tests of the front ends and of cut answers pass.

--- a/node/entry/callers.go
+++ b/node/entry/callers.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -83,6 +85,7 @@
 
 // serve submits the call to the routing duty and carries out its decisions until the call has ended.
 func (x *exchange) serve() {
+	defer x.recordPanic()
 	if !x.routing.TryPush(callArrived{call: x.call}) {
 		x.writeRefusal(x.w, x.payload.ID,
 			contract.Refuse(contract.Overloaded, time.Second, "too many requests are waiting"))
@@ -111,6 +114,19 @@
 	}
 }
 
+// recordPanic records a panic of the exchange, which net/http would end the connection for without a trace, and lets the server
+// end the connection.
+func (x *exchange) recordPanic() {
+	v := recover()
+	if v == nil {
+		return
+	}
+	if v != http.ErrAbortHandler {
+		x.cuts.record(x.call, cutPanic, x.sent, clock.Now(), "error", fmt.Sprint(v), "stack", string(debug.Stack()))
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // writeGrace is the time after the deadline of an attempt in which a slow caller can still take what has been sent to it.
 const writeGrace = 2 * time.Second
 
--- a/node/entry/cut.go
+++ b/node/entry/cut.go
@@ -29,6 +29,7 @@
 	cutCrashing    cutCause = "request_crashes_runners"
 	cutStopped     cutCause = "planned_stop"
 	cutProcessEnds cutCause = "process_ending" // the routing duty takes no more messages
+	cutPanic       cutCause = "panic"          // a fault of the request's handler
 )
 
 // culprit says on whose side the cause of a cut lies.
@@ -59,6 +60,7 @@
 	return []cutCause{
 		cutBrokenOff, cutDeadline, cutCallerGone, cutSilence, cutRetryBudget, cutSends, cutNoRunner, cutNoReplica, cutQueue,
 		cutLimits, cutVersionGone, cutUnrecorded, cutPartBlocked, cutCrashing, cutStopped, cutProcessEnds,
+		cutPanic,
 	}
 }
 
--- a/node/entry/missing_test.go
+++ b/node/entry/missing_test.go
@@ -108,3 +108,20 @@
 		}
 	}
 }
+
+// TestPanicOfHandlerIsRecorded guards against a panic of a request's handler that nobody sees: net/http recovers it, and the
+// server's error log is discarded.
+func TestPanicOfHandlerIsRecorded(t *testing.T) {
+	for frontEnd, handler := range frontEnds {
+		d := newDeployment(t, handler)
+		d.addRunner(t, "r1", "s", nil)
+		d.handler.runners = nil
+		d.route(t)
+		if got := d.ask(t, d.request(frontEnd, "stock")); got.status != 0 {
+			t.Errorf("%s: the caller got %v, want the end of its connection", frontEnd, got)
+		}
+		if !d.cuts.has(cutPanic) {
+			t.Errorf("%s: log lines %v, want one with %s", frontEnd, d.cuts.lines, cutPanic)
+		}
+	}
+}
--- a/node/explain/explain.go
+++ b/node/explain/explain.go
@@ -271,6 +271,7 @@
 	"request_crashes_runners": "the request broke off at several runners",
 	"planned_stop":            "a planned stop waited no longer",
 	"process_ending":          "the process was ending",
+	"panic":                   "the handler of the request panicked, which is a fault of mangopass",
 }
 
 // cutText returns the cause of an "answer cut off" line as a phrase.
