Don't take a caller that doesn't read for a silence of its runner

While a caller does not read its stream, writing to it blocks, and the exchange can't read the runner's next event. The silence timer ran on meanwhile: after 1.2 s the attempt was given up, the runner counted a failure, and a retry of the budget went to another runner, or, if that one could not go on either, the answer was cut off. A short suspension of the caller or a stalled link was enough.

The timer now stands still while an event is written to the caller.

--- a/node/entry/callers.go
+++ b/node/entry/callers.go
@@ -344,9 +344,11 @@
 			x.writeHead(answer)
 		}
 		end.streaming = true
+		silence.stop() // a caller that does not read holds the writing up, which says nothing of the runner
 		if err := x.forwardEvent(event); err != nil {
 			return err
 		}
+		silence.reset()
 	}
 }
 
--- a/node/entry/frontend_test.go
+++ b/node/entry/frontend_test.go
@@ -89,6 +89,10 @@
 					return
 				}
 				_, _ = io.Copy(io.Discard, request.Body)
+				if request.URL.Path == "/-/report" { // the process is the one of the announcement
+					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+					return
+				}
 				script(int(requests.Add(1)), request.Header.Get("X-Mangopass-Request-Id"), conn)
 			}()
 		}
