Count an answer that a caller does not take as the caller's cause

An error of writing to the caller was classified by the state of the request's context alone. net/http ends the context with the first failed write, so that no runner has been blamed for it so far: twenty resets of a caller in the middle of a stream gave one attempt each and caller_gone (TestResetOfCallerIsNoFaultOfTheRunner passed before). That rests on a detail of the server; with a writer that only fails, the run counted as broken, the runner's failures and the crash counts rose and a second attempt was made. A whole answer that could not be written counted as served, without a trace.

Errors of writing are now marked as such, and a whole answer is flushed, so that its loss is recorded as caller_gone.

TestFailedWriteIsNoFaultOfTheRunner (runner_broke_off, two attempts) and TestUnwrittenAnswerIsRecorded (no line) failed before and pass now.

--- a/node/entry/attempts.go
+++ b/node/entry/attempts.go
@@ -61,7 +61,7 @@
 	}
 	if m.final {
 		r.metrics.request.WithLabelValues(m.result.String()).Observe(now.Sub(c.request.Arrived).Seconds())
-		if m.result == resultCallerGone {
+		if m.result == resultCallerGone || m.untaken {
 			r.noteCut(c, cutCallerGone, now)
 		}
 		return
--- a/node/entry/callers.go
+++ b/node/entry/callers.go
@@ -258,6 +258,7 @@
 	errSilent   = errors.New("the runner sent nothing within the silence timeout, and another one can go on")
 	errStopping = errors.New("the process is stopping")
 	errBlocked  = errors.New("a part of the prompt crashes runners")
+	errNotTaken = errors.New("the caller does not take the answer")
 
 	errUnrecorded = errors.New("what began the stream could not be recorded")
 )
@@ -271,7 +272,7 @@
 		return resultStopped
 	case errors.Is(cause, errBlocked):
 		return resultWithdrawn
-	case x.call.ctx.Err() != nil:
+	case x.call.ctx.Err() != nil, errors.Is(err, errNotTaken):
 		return resultCallerGone
 	}
 	switch {
@@ -302,7 +303,10 @@
 	}
 	end.final = true
 	answer.WriteHead(x.w, len(body))
-	_, _ = x.w.Write(body) // fails only if the caller has disconnected
+	if _, err = x.w.Write(body); err == nil {
+		err = http.NewResponseController(x.w).Flush()
+	}
+	end.untaken = err != nil
 	return nil
 }
 
@@ -363,13 +367,13 @@
 		return nil
 	}
 	if _, err := x.w.Write(event.Data); err != nil {
-		return errors.Wrap(err, "write to caller")
+		return errors.Mark(errors.Wrap(err, "write to caller"), errNotTaken)
 	}
 	if event.ID != "" {
 		x.sent.lastEvent = event.ID
 	}
 	if err := x.flusher.Flush(); err != nil {
-		return errors.Wrap(err, "flush to caller")
+		return errors.Mark(errors.Wrap(err, "flush to caller"), errNotTaken)
 	}
 	x.sent.events++
 	return nil
--- a/node/entry/frontend_test.go
+++ b/node/entry/frontend_test.go
@@ -211,3 +211,9 @@
 	}
 	return false
 }
+
+// reset closes a connection so that the other side gets a reset instead of its end.
+func reset(conn net.Conn) {
+	_ = conn.(*net.TCPConn).SetLinger(0)
+	_ = conn.Close()
+}
--- a/node/entry/message.go
+++ b/node/entry/message.go
@@ -145,6 +145,7 @@
 	streaming     bool          // events have been sent to the caller
 	sent          passedOn      // to the caller, by all attempts
 	final         bool
+	untaken       bool // the whole answer could not be written to the caller
 }
 
 // storeChanged carries changed entries of the platform's store.
