Let a broken stream wait for a replica if the manifest has lost its model

A stream that broke off waits 1.5 s for another runner of its version with the model. Whether there is such a model was asked of the manifest in force: beside a change that removed the model, its service or the service's engine, the answer was cut off at once with "no runner of the service is usable", although an engine got the model, or had it, a moment later. Streams of plain services were never given the wait.

A call whose answer has begun now waits in any case: the rest is to be had here or nowhere.

--- a/node/entry/admission.go
+++ b/node/entry/admission.go
@@ -218,6 +218,7 @@
 		return
 	}
 	_, known := r.model(c)
+	known = known || c.streaming // the rest of the answer is to be had here or nowhere, also if a newer manifest lacks the model
 	switch {
 	case choice.Limited && (!known && now.Add(choice.Retry).After(c.waitUntil) || r.waitedLongEnough(c, now)):
 		r.refuseLimited(c, choice.Retry, now)
