Let streams go on at a service of the route that has lost its weight

When an operator moved a route's requests to another service by the weights, streams that had begun at the former one could not be taken up any more: "no service of the route can go on with the stream", although its runners served on. The service is still one of the route's; a weight of zero only says that no new request goes there. A service that the route no longer names still gets none of its requests.

--- a/fleet/contract/route.go
+++ b/fleet/contract/route.go
@@ -62,9 +62,10 @@
 // ResumableStream reports whether answers of the route are streams that may go on at another runner.
 func (r *Route) ResumableStream() bool { return r.Kind == Stream && r.Resumable }
 
-// HasBackend reports whether requests of the route may go to a service.
+// HasBackend reports whether a service is one of the route's. New requests go there only if it has a weight; streams that have
+// begun there go on there in any case.
 func (r *Route) HasBackend(s ServiceName) bool {
-	return slices.ContainsFunc(r.Backends, func(b Backend) bool { return b.Service == s && b.Weight > 0 })
+	return slices.ContainsFunc(r.Backends, func(b Backend) bool { return b.Service == s })
 }
 
 // Backend chooses a service by weight; point is a uniformly distributed number from 0 to 1.
--- a/node/entry/changes_test.go
+++ b/node/entry/changes_test.go
@@ -232,3 +232,30 @@
 	}
 	return h.streams.reads.ring.TryPop()
 }
+
+// TestStreamGoesOnAtServiceWithoutWeight guards streams against an operator who moves a route's requests to another service by
+// their weights: the callers of the streams that have begun take them up where they began.
+func TestStreamGoesOnAtServiceWithoutWeight(t *testing.T) {
+	for change, want := range map[string]contract.Code{
+		"weights changed": "", "route's service changed": contract.StreamLost,
+	} {
+		h := newHarness()
+		h.setUp("r1")
+		h.announceEngines(2)
+		c, d := h.admitChat()
+		h.start(c, d.attempt)
+		h.changeManifest(manifestChanges[change])
+		up := newCall(context.Background(), &contract.Request{
+			ID: "up", Host: "h", Path: "/chat/", Key: contract.HashKey("key"), HasKey: true, Arrived: h.now, Model: "m",
+			PromptTokens: 100, MaxTokens: 50, Counted: true, LastEvent: "1", Resumes: c.request.ID,
+		})
+		h.apply(callArrived{call: up})
+		taken := h.decision(up)
+		if taken == nil || codeOf(taken.refusal) != want {
+			t.Fatalf("%s: decision %+v, want the code %q", change, taken, want)
+		}
+		if a := taken.attempt; want == "" && a.artifact.Service != "e" {
+			t.Errorf("%s: the stream goes on at service %s, want e", change, a.artifact.Service)
+		}
+	}
+}
