Show that a silence of a sound runner breaks answers

A stream without an event for 1.2 s is given up for another runner which would take it, though that runner is only asked once the attempt has ended. If it then refuses the stream, fails or goes down, nothing is left: the route's two attempts are spent, and the head has been written, so the connection is aborted.

The stand-in runner gets a fault for it: a silence of a given length after which it goes on, of the next streams or of all answers at once.

--- a/standin/runner/http.go
+++ b/standin/runner/http.go
@@ -136,13 +136,14 @@
 			_ = http.NewResponseController(w).Flush()
 			r.crash()
 		}
-		r.stream(w, req, faults.version, faults.BreakAfter)
+		r.stream(w, req, faults)
 		if faults.life.Err() != nil {
 			panic(http.ErrAbortHandler)
 		}
 		return
 	}
 	duty.Pause(req.Context(), r.TokenTime)
+	r.stayQuiet(req.Context())
 	_, _ = fmt.Fprintf(w, "%s answers %s\n", r.ID, id)
 }
 
@@ -185,6 +186,7 @@
 	r.faults.Hang = max(0, r.faults.Hang-1)
 	r.faults.Garble = max(0, r.faults.Garble-1)
 	r.faults.BreakAfter = 0
+	r.faults.SilentStreams = max(0, r.faults.SilentStreams-1)
 	return faults, len(r.record.Runs) - 1, 0
 }
 
@@ -196,9 +198,9 @@
 	r.record.Runs[index].Cancelled = ctx.Err() != nil
 }
 
-// stream sends the events after the id in Last-Event-Id, with consecutive ids. If breakAfter is positive, it sends so
+// stream sends the events after the id in Last-Event-Id, with consecutive ids. If BreakAfter is positive, it sends so
 // many events and then breaks the connection in the middle of the next one.
-func (r *Runner) stream(w http.ResponseWriter, req *http.Request, version string, breakAfter int) {
+func (r *Runner) stream(w http.ResponseWriter, req *http.Request, faults runFaults) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	first, _ := strconv.Atoi(req.Header.Get("Last-Event-Id"))
 	out := http.NewResponseController(w)
@@ -206,12 +208,16 @@
 		if !duty.Pause(req.Context(), r.TokenTime) {
 			return
 		}
-		if breakAfter > 0 && i > first+breakAfter {
+		if faults.SilentStreams > 0 && i == first+1+faults.SilentAfter {
+			duty.Pause(req.Context(), time.Duration(faults.SilenceMs)*time.Millisecond)
+		}
+		r.stayQuiet(req.Context())
+		if faults.BreakAfter > 0 && i > first+faults.BreakAfter {
 			_, _ = fmt.Fprintf(w, "id: %d\ndata: tok", i)
 			_ = out.Flush()
 			panic(http.ErrAbortHandler)
 		}
-		if _, err := io.WriteString(w, r.event(version, i)); err != nil || out.Flush() != nil {
+		if _, err := io.WriteString(w, r.event(faults.version, i)); err != nil || out.Flush() != nil {
 			return
 		}
 	}
@@ -226,6 +232,7 @@
 		return
 	}
 	r.faults = f
+	r.beginSilence(time.Now())
 	if f.Release != "" && f.Release != r.Version {
 		r.Version = f.Release
 		r.restart()
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -41,6 +41,14 @@
 	FailResume bool `json:"fail_resume"` // requests that resume a stream run and are answered 500 with a text
 	Hang       int  `json:"hang"`        // requests that run and are never answered
 	Garble     int  `json:"garble"`      // requests that run and whose answers are spoiled, each in another way than the one before
+
+	// SilenceMs is the length, in milliseconds, of a silence after which the runner goes on as if nothing had been. The next
+	// SilentStreams streams fall silent once each, SilentAfter events after their start; with SilentStreams zero, all answers
+	// at once, from when the fault is set.
+	SilenceMs     int `json:"silence_ms"`
+	SilentStreams int `json:"silent_streams"`
+	SilentAfter   int `json:"silent_after"`
+
 	Draining   bool `json:"draining"`    // the runner's entry in the store has the state draining
 	Unlisted   bool `json:"unlisted"`    // the runner's entry in the store is removed; it goes on to serve
 	LateOrders int  `json:"late_orders"` // orders that are carried out a second late and not answered
@@ -122,6 +130,8 @@
 	heartbeats int64 // number of entries written to the store
 	faults     Faults
 	record     Record
+
+	silentUntil time.Time // no answer goes on before
 }
 
 // New returns a runner that holds the models of its spec.
