Give up a stream only after a silence that no sound runner shows

Callers got broken streams, or a 502 before the first event, because their runner was silent for 1.2 to 2 s and then went on. The attempt was given up if another runner *would* take the request, which was seen again only once the attempt had ended. If that runner then refused it, failed or crashed, the route's attempts were spent and the connection was aborted. All streams of a runner that fell silent together moved at once. Suspected behind the request that got neither an answer nor a refusal beside a manifest; that case was not traced.

A silence now has two steps. At the silence time of before the runner is suspected: it counts as a failure, once for the attempt, whether the stream can go on elsewhere or not, so that new requests avoid a runner that hangs no later than before. What the stream does later does not count as a failure again. The attempt is given up after 2.25 s without an event, before the first one after that and the expected time to it, and only if the next event can be expected from another runner, which is not ejected, before the deadline and before the caller abandons the stream. The question is asked again twice a second, as the budget or a runner may come back. A move counts as sent to the next runner until the attempt has ended, so that each stream sees those that move before it. The exchange's timer asks at the two times instead of at each silence time, and measures from the last event. Safe requests keep a third of their time.

The line 'runner silent' tells in kept_because why an attempt is kept, and mangopass explain reads it.

--- a/fleet/contract/route.go
+++ b/fleet/contract/route.go
@@ -59,6 +59,19 @@
 // Repeatable reports whether a request of the route may run more than once.
 func (r *Route) Repeatable() bool { return r.Kind == Safe || r.Kind == Stream && r.Resumable }
 
+// Callers abandon a stream after a time without an event: the longest of minPatience, objectivePatience times the latency
+// objective and gapPatience times the longest pause that counts as on time.
+const (
+	minPatience       = 2 * time.Second
+	objectivePatience = 4
+	gapPatience       = 8
+)
+
+// Patience returns how long callers of a stream wait for its first event, or the next one, before they abandon it.
+func (r *Route) Patience() time.Duration {
+	return max(minPatience, objectivePatience*r.Objective, gapPatience*r.MaxGap)
+}
+
 // ResumableStream reports whether answers of the route are streams that may go on at another runner.
 func (r *Route) ResumableStream() bool { return r.Kind == Stream && r.Resumable }
 
--- a/fleet/link/table.go
+++ b/fleet/link/table.go
@@ -236,10 +236,10 @@
 	return choice, true
 }
 
-// Offers reports whether Pick would choose a runner now.
-func (t *Table) Offers(f *machine.Fleet, req Requirements, now clock.Instant) bool {
+// Offer returns what Pick would choose now, and false if that is no runner. It changes nothing.
+func (t *Table) Offer(f *machine.Fleet, req Requirements, now clock.Instant) (Choice, bool) {
 	choice, _ := t.find(f, req, now)
-	return choice.Runner != nil
+	return choice, choice.Runner != nil
 }
 
 // find returns the choice of Pick with the hashes of the prompt's prefixes, or one without a runner.
--- a/node/entry/admission.go
+++ b/node/entry/admission.go
@@ -27,11 +27,6 @@
 	minAttemptTime = 15 * time.Millisecond
 	// maxSends limits the attempts of one call, including those that the runner did not execute.
 	maxSends = 4
-	// streamSilenceTimeout is the time without an event after which a resumable stream is continued on another runner,
-	// unless its route allows pauses of more than 1/silenceGaps of that. It must leave time to go on, since callers give
-	// up after 3 s without an event, or eight of the pauses that the route allows.
-	streamSilenceTimeout = 1200 * time.Millisecond
-	silenceGaps          = 1.5
 	// quotaBurstSlackShare and quotaRateSlackShare split the quota slack from the settings: the first share is added to
 	// the burst, the second is spread over the quota window and added to the rate. The rest covers what several entry
 	// VMs admit before their usage reports reach each other.
@@ -282,7 +277,7 @@
 	} else {
 		a.priority = c.priority(choice.Timely)
 	}
-	a.silenceTimeout = silenceTimeout(route, a, c.deadline.Sub(now))
+	a.silenceTimeout, a.soundSilence = silenceTimes(route, a, c.deadline.Sub(now))
 	a.ctx, a.cancel = context.WithCancelCause(c.ctx)
 	c.runner, c.cancel, r.inFlight[c] = runner.ID, a.cancel, true
 	r.table.Limits.Sent(runner, now)
@@ -294,20 +289,6 @@
 	c.decisions.TryPush(decision{attempt: a})
 }
 
-// silenceTimeout returns how long an attempt may go without an event or answer before the call is sent to another runner, if
-// there is one. It is zero, which means no limit, if the call may be neither resumed nor retried there.
-func silenceTimeout(route *contract.Route, a attempt, left time.Duration) time.Duration {
-	switch {
-	case a.resumable && !a.timely:
-		return left // it may wait behind all calls that can be in time
-	case a.resumable:
-		return max(streamSilenceTimeout, time.Duration(silenceGaps*float64(route.MaxGap))) + a.expectedLatency
-	case route.Kind == contract.Safe && route.MaxAttempts > 1:
-		return left / 3
-	}
-	return 0
-}
-
 // refuseWithCode refuses a call. The refusal says whether the request may have run; if it has not, the caller gets a
 // retry delay. cause is the one of an answer that has begun.
 func (r *routing) refuseWithCode(c *call, cause cutCause, code contract.Code, detail string, now clock.Instant) {
@@ -360,10 +341,7 @@
 	delete(r.inFlight, c)
 	if d, pending := c.decisions.TryPop(); pending && d.refusal == nil {
 		c.sends--
-		if l := r.linkOf(d.attempt); l != nil {
-			l.Started(d.attempt.artifact, d.attempt.prefill, d.attempt.timely, 0, 0)
-			l.Finished(d.attempt.artifact)
-		}
+		r.forgetSent(d.attempt)
 	}
 	if c.cost > 0 && c.sends == 0 && c.admitted.Organisation != nil {
 		r.quota(c.admitted.Organisation, now).Refund(c.cost, now)
--- a/node/entry/attempts.go
+++ b/node/entry/attempts.go
@@ -47,10 +47,11 @@
 			l.Started(m.attempt.artifact, m.attempt.prefill, m.attempt.timely, 0, 0)
 		}
 		l.Finished(m.attempt.artifact)
-		if !m.paused { // a runner that asks for a pause has not failed
+		if !m.paused && !(c.suspected && m.result.failed()) { // a pause is no failure, and a silence has counted already
 			recordResult(l, m.result, now)
 		}
 	}
+	r.endSilence(c)
 	if m.result == resultNoReplica {
 		r.leader.scheduler.HandleMissing(m.attempt.runner, m.attempt.artifact, now)
 	}
@@ -101,14 +102,17 @@
 	return r == resultUnreachable || r == resultShed || r == resultNoReplica
 }
 
+// failed reports whether a result counts as a failure of the runner.
+func (r result) failed() bool { return r == resultBroken || r == resultShed || r == resultFailed }
+
 // recordResult counts a success or failure of a runner. Results that say nothing about its health are not counted.
 func recordResult(l *link.RunnerLink, result result, now clock.Instant) {
-	switch result {
-	case resultServed:
+	switch {
+	case result == resultServed:
 		l.Succeeded()
-	case resultUnreachable:
+	case result == resultUnreachable:
 		l.Unreachable(now)
-	case resultBroken, resultShed, resultFailed:
+	case result.failed():
 		l.Failed(now)
 	}
 }
--- a/node/entry/callers.go
+++ b/node/entry/callers.go
@@ -77,6 +77,7 @@
 	// writeRefusal writes a refusal in the format of the front end that received the request.
 	writeRefusal func(w http.ResponseWriter, id string, refusal *contract.Refusal)
 
+	progressAt  clock.Instant // when the last event for the caller came; before the first one, when the request arrived
 	headWritten bool
 	mayHaveRun  bool     // a runner may have begun to run the request
 	sent        passedOn // a resumed stream continues after its last event
@@ -86,6 +87,7 @@
 // serve submits the call to the routing duty and carries out its decisions until the call has ended.
 func (x *exchange) serve() {
 	defer x.recordPanic()
+	x.progressAt = x.call.request.Arrived
 	if !x.routing.TryPush(callArrived{call: x.call}) {
 		x.writeRefusal(x.w, x.payload.ID,
 			contract.Refuse(contract.Overloaded, time.Second, "too many requests are waiting"))
@@ -334,7 +336,7 @@
 		if err != nil {
 			return err
 		}
-		silence.reset()
+		x.progressAt = silence.reset()
 		if !end.started {
 			end.started = true
 			end.startReported = x.routing.TryPush(attemptStarted{call: x.call, attempt: a, took: clock.Now().Sub(begin)})
--- a/node/entry/message.go
+++ b/node/entry/message.go
@@ -44,7 +44,10 @@
 	pinned    bool                    // its stream has begun and goes on only at runners of version
 	version   machine.SoftwareVersion // that began the stream
 
-	retryTaken bool // the retry after the attempt in progress has been taken from the retry budget
+	retryTaken bool       // the retry after the attempt in progress has been taken from the retry budget
+	reserved   *attempt   // counts as sent to a runner until the attempt in progress has ended; nil: none
+	suspected  bool       // the runner of the attempt in progress has been silent, which counts as a failure
+	kept       keptReason // why that attempt was not given up, as logged last
 }
 
 // decision is the routing duty's reply to a new call or a failed attempt: another attempt or a refusal.
@@ -74,7 +77,8 @@
 	recorded        bool          // the store must hold what begins the stream before its first event is passed on
 	stream          link.StreamID // of the stream that begins
 	verifyBoot      bool          // the runner must be asked first whether it still is the process that boot names
-	silenceTimeout  time.Duration // time without an event or answer after which another runner may go on; zero: no limit
+	silenceTimeout  time.Duration // time without an event or answer after which the runner is suspected; zero: no limit
+	soundSilence    time.Duration // time between two events that a sound runner may take; zero: silenceTimeout
 }
 
 // result is the outcome of an attempt.
--- a/node/entry/silence.go
+++ b/node/entry/silence.go
@@ -1,71 +1,209 @@
 package entry
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/mangopass/mangopass/duty/clock"
+	"github.com/mangopass/mangopass/fleet/contract"
+	"github.com/mangopass/mangopass/fleet/link"
 )
 
-// attemptSilent says that a runner has sent nothing for the silence timeout of an attempt.
+const (
+	// streamSilenceTimeout is the time without an event after which the runner of a resumable stream is suspected, so that new
+	// requests go elsewhere, unless the route allows pauses of more than 1/silenceGaps of that.
+	streamSilenceTimeout = 1200 * time.Millisecond
+	silenceGaps          = 1.5
+	// longestSoundSilence is the longest time between two events of a resumable stream whose runner is sound: it may be silent
+	// for 2 s. The rest is for the pause before its next event, and for the way and the processes here.
+	longestSoundSilence = 2*time.Second + 250*time.Millisecond
+	// silenceRecheck is the time after which it is asked again whether a silent attempt can be given up, and silenceStep the
+	// shortest one between two such questions. A process that was suspended first reads what has come meanwhile.
+	silenceRecheck = 500 * time.Millisecond
+	silenceStep    = 100 * time.Millisecond
+)
+
+// silenceTimes returns how long an attempt may go without an event or answer before its runner is suspected, and how long a
+// sound runner may take between two events. The first is zero, which means no limit, if the call may be neither resumed nor
+// retried. A safe request is suspected and given up after a third of its time: nothing of an answer has been sent, so that its
+// caller gets a whole refusal if the next runner fails too.
+func silenceTimes(route *contract.Route, a attempt, left time.Duration) (timeout, sound time.Duration) {
+	gaps := time.Duration(silenceGaps * float64(route.MaxGap))
+	switch {
+	case a.resumable && !a.timely:
+		return left, max(longestSoundSilence, gaps) // it may wait behind all calls that can be in time
+	case a.resumable:
+		return max(streamSilenceTimeout, gaps) + a.expectedLatency, max(longestSoundSilence, gaps)
+	case route.Kind == contract.Safe && route.MaxAttempts > 1:
+		return left / 3, 0
+	}
+	return 0, 0
+}
+
+// keptFor returns the time without an event or answer for which an attempt is kept in any case; started says whether an event
+// has come.
+func (a attempt) keptFor(started bool) time.Duration {
+	switch {
+	case a.soundSilence == 0:
+		return a.silenceTimeout
+	case started:
+		return max(a.silenceTimeout, a.soundSilence)
+	}
+	return max(a.silenceTimeout, a.soundSilence+a.expectedLatency)
+}
+
+// keptReason says why an attempt whose runner is silent is not given up.
+type keptReason string
+
+const (
+	mayGoOn       keptReason = "a sound runner may be silent for so long"
+	noAttemptLeft keptReason = "the request may not be sent again"
+	noOther       keptReason = "no other runner can go on in time"
+	noBudget      keptReason = "the retry budget is spent"
+)
+
+// attemptSilent says that a runner has sent nothing for the silence timeout of an attempt, or for longer.
 type attemptSilent struct {
-	call    *call
-	attempt attempt
+	call     *call
+	attempt  attempt
+	since    clock.Instant // of the attempt's last event, or of its start
+	started  bool          // an event of the attempt has come
+	progress clock.Instant // of the caller's last event in any attempt, or of the request's arrival
 }
 
-// apply gives up the attempt if the call can go on at another runner at once. Otherwise the runner may still answer, so the
-// attempt is kept until the deadline.
+// apply counts the silence as a failure of the runner, once for each attempt. It gives up the attempt if a sound runner would
+// have gone on by now, and the call can go on at another runner before its caller abandons it. Otherwise the runner may still
+// go on, so the attempt is kept.
 func (m attemptSilent) apply(r *routing, now clock.Instant) {
-	c := m.call
-	if m.attempt.ctx.Err() != nil {
+	c, a := m.call, m.attempt
+	if a.ctx.Err() != nil {
 		return // it has ended meanwhile
 	}
-	goesOn := r.reserveRetry(c, m.attempt, now)
-	r.log.Info("runner silent", "request", c.request.ID, "runner", m.attempt.runner,
-		"silent_ms", m.attempt.silenceTimeout.Milliseconds(), "given_up", goesOn)
-	if goesOn {
-		m.attempt.cancel(errSilent)
+	if l := r.linkOf(a); l != nil && a.resumable && !c.suspected {
+		c.suspected = true
+		l.Failed(now)
+	}
+	silent, kept := now.Sub(m.since), mayGoOn
+	if silent >= a.keptFor(m.started) {
+		kept = r.reserveRetry(c, a, m.progress, now)
+	}
+	if kept == c.kept && kept != "" {
+		return
+	}
+	c.kept = kept
+	r.log.Info("runner silent", "request", c.request.ID, "runner", a.runner, "silent_ms", silent.Milliseconds(),
+		"given_up", kept == "", "kept_because", kept)
+	if kept == "" {
+		a.cancel(errSilent)
 	}
 }
 
-// reserveRetry takes a retry of a call from its service's budget before the attempt in progress ends, if another runner takes
-// the call now and it may be sent again. It reports whether it has done so.
-func (r *routing) reserveRetry(c *call, a attempt, now clock.Instant) bool {
+// reserveRetry takes a retry of a call from its service's budget before the attempt in progress ends, if another runner can go
+// on with the call in time and it may be sent again. Until the attempt has ended, the call counts there as sent, so that the
+// next one sees it. It returns why it has not done so, or an empty reason.
+func (r *routing) reserveRetry(c *call, a attempt, progress, now clock.Instant) keptReason {
 	route := c.admitted.Route
 	if c.retryTaken || !route.Repeatable() || c.runs+1 >= route.MaxAttempts || c.sends >= maxSends {
-		return false
+		return noAttemptLeft
 	}
 	requirements := r.requirements(c, now)
 	requirements.Exclude = append(requirements.Exclude[:len(c.exclude):len(c.exclude)], a.runner)
-	c.retryTaken = r.table.Offers(r.fleet, requirements, now) && r.retryBudget(c.service).Take(r.members.count(), now)
-	return c.retryTaken
+	next, ok := r.table.Offer(r.fleet, requirements, now)
+	if !ok || !r.canGoOn(c, next, progress, now) {
+		return noOther
+	}
+	if !r.retryBudget(c.service).Take(r.members.count(), now) {
+		return noBudget
+	}
+	c.retryTaken = true
+	c.reserved = &attempt{
+		runner: next.Runner.ID, boot: next.Runner.Boot, artifact: c.artifact, prefill: next.Prefill, timely: next.Timely,
+	}
+	r.table.Link(next.Runner).Sent(c.artifact, next.Prefill, next.Timely)
+	return ""
 }
 
-// silenceTimer tells the routing duty each time that the runner has sent nothing for the timeout. Its zero value does
-// nothing.
+// canGoOn reports whether a stream can be expected to go on at a runner before its deadline and before its caller abandons it.
+// One that fails there is broken off, so it does not go to a runner that is ejected.
+func (r *routing) canGoOn(c *call, next link.Choice, progress, now clock.Instant) bool {
+	if !c.admitted.Route.ResumableStream() {
+		return true
+	}
+	if _, blocked := r.promptParts.Blocked(c.parts, now); blocked {
+		return false
+	}
+	end := min(c.deadline, progress.Add(c.admitted.Route.Patience()))
+	return !now.Add(next.Wait+next.Prefill+link.FirstTokenTime).After(end) && !r.table.Link(next.Runner).Ejected(now)
+}
+
+// endSilence forgets what the silence of the attempt that has just ended has led to.
+func (r *routing) endSilence(c *call) {
+	if c.reserved != nil {
+		r.forgetSent(*c.reserved)
+	}
+	c.reserved, c.suspected, c.kept = nil, false, ""
+}
+
+// forgetSent takes back that an attempt counts as sent to its runner.
+func (r *routing) forgetSent(a attempt) {
+	if l := r.linkOf(a); l != nil {
+		l.Started(a.artifact, a.prefill, a.timely, 0, 0)
+		l.Finished(a.artifact)
+	}
+}
+
+// silenceTimer tells the routing duty that the runner of an attempt is silent: after the silence timeout, after the longest
+// silence of a sound runner, and from then on again and again. Its zero value does nothing.
 type silenceTimer struct {
-	timer   *time.Timer
-	timeout time.Duration
+	*exchange
+	timer    *time.Timer
+	attempt  attempt
+	begun    clock.Instant
+	progress clock.Instant // of the caller's last event before the attempt, or of the request's arrival
+	heardAt  atomic.Int64  // of the attempt's last event, or of its start
 }
 
 func (x *exchange) startSilenceTimer(a attempt) *silenceTimer {
-	if a.silenceTimeout <= 0 {
-		return &silenceTimer{}
-	}
-	s := &silenceTimer{timeout: a.silenceTimeout}
-	s.timer = time.AfterFunc(never, func() {
-		if a.ctx.Err() == nil {
-			_ = x.routing.TryPush(attemptSilent{call: x.call, attempt: a}) // comes again if the ring is full
-			s.reset()
-		}
-	})
-	s.reset()
+	s := &silenceTimer{exchange: x, attempt: a, begun: clock.Now(), progress: x.progressAt}
+	s.heardAt.Store(int64(s.begun))
+	if a.silenceTimeout > 0 {
+		s.timer = time.AfterFunc(never, s.report)
+		s.timer.Reset(a.silenceTimeout)
+	}
 	return s
 }
 
-func (s *silenceTimer) reset() {
+// report pushes the silence, if there is one, and sets the time of the next report. What a full ring does not take comes again.
+func (s *silenceTimer) report() {
+	if s.attempt.ctx.Err() != nil {
+		return
+	}
+	heard := clock.Instant(s.heardAt.Load())
+	silent, started := clock.Now().Sub(heard), heard > s.begun
+	if silent < s.attempt.silenceTimeout {
+		s.timer.Reset(s.attempt.silenceTimeout - silent)
+		return
+	}
+	m := attemptSilent{call: s.call, attempt: s.attempt, since: heard, started: started, progress: s.progress}
+	if started {
+		m.progress = heard
+	}
+	_ = s.routing.TryPush(m)
+	next := silenceRecheck
+	if kept := s.attempt.keptFor(started); silent < kept {
+		next = max(silenceStep, kept-silent)
+	}
+	s.timer.Reset(next)
+}
+
+// reset begins a new silence, and returns the instant.
+func (s *silenceTimer) reset() clock.Instant {
+	now := clock.Now()
+	s.heardAt.Store(int64(now))
 	if s.timer != nil {
-		s.timer.Reset(s.timeout)
+		s.timer.Reset(s.attempt.silenceTimeout)
 	}
+	return now
 }
 
 func (s *silenceTimer) stop() {
--- a/node/explain/explain.go
+++ b/node/explain/explain.go
@@ -20,43 +20,44 @@
 // Line is one log line of an entry VM. It has the fields of the messages on requests, orders and loads; those that its
 // own message lacks are empty.
 type Line struct {
-	Time       time.Time `json:"time"`
-	Message    string    `json:"msg"`
-	Node       string    `json:"node"`
-	Request    string    `json:"request,omitempty"`
-	Route      string    `json:"route,omitempty"`
-	Runner     string    `json:"runner,omitempty"`
-	Version    string    `json:"version,omitempty"`
-	Resumes    string    `json:"resumes,omitempty"`
-	Source     string    `json:"source,omitempty"`
-	GoesOn     bool      `json:"goes_on,omitempty"`
-	Model      string    `json:"model,omitempty"`
-	Adapter    string    `json:"adapter,omitempty"`
-	Kind       string    `json:"kind,omitempty"`
-	Outcome    string    `json:"outcome,omitempty"`
-	Result     string    `json:"result,omitempty"`
-	Code       string    `json:"code,omitempty"`
-	Detail     string    `json:"detail,omitempty"`
-	Cause      string    `json:"cause,omitempty"`
-	Planner    string    `json:"planner,omitempty"`
-	Obstacle   string    `json:"obstacle,omitempty"`
-	Gain       float64   `json:"gain,omitempty"`
-	Lost       float64   `json:"lost,omitempty"`
-	Attempt    int       `json:"attempt,omitempty"`
-	WaitedMs   int64     `json:"waited_ms,omitempty"`
-	PatienceMs int64     `json:"patience_ms,omitempty"`
-	QueuedMs   int64     `json:"queued_ms,omitempty"`
-	TookMs     int64     `json:"took_ms,omitempty"`
-	Manifest   int64     `json:"manifest,omitempty"`
-	AgeMs      int64     `json:"manifest_age_ms,omitempty"`
-	PauseMs    int64     `json:"pause_ms,omitempty"`
-	SilentMs   int64     `json:"silent_ms,omitempty"`
-	GivenUp    bool      `json:"given_up,omitempty"`
-	MayHaveRun bool      `json:"may_have_run,omitempty"`
-	By         string    `json:"by,omitempty"`
-	Events     int       `json:"events,omitempty"`
-	InForceMs  int64     `json:"manifest_in_force_ms,omitempty"`
-	Final      bool      `json:"final,omitempty"`
+	Time        time.Time `json:"time"`
+	Message     string    `json:"msg"`
+	Node        string    `json:"node"`
+	Request     string    `json:"request,omitempty"`
+	Route       string    `json:"route,omitempty"`
+	Runner      string    `json:"runner,omitempty"`
+	Version     string    `json:"version,omitempty"`
+	Resumes     string    `json:"resumes,omitempty"`
+	Source      string    `json:"source,omitempty"`
+	GoesOn      bool      `json:"goes_on,omitempty"`
+	Model       string    `json:"model,omitempty"`
+	Adapter     string    `json:"adapter,omitempty"`
+	Kind        string    `json:"kind,omitempty"`
+	Outcome     string    `json:"outcome,omitempty"`
+	Result      string    `json:"result,omitempty"`
+	Code        string    `json:"code,omitempty"`
+	Detail      string    `json:"detail,omitempty"`
+	Cause       string    `json:"cause,omitempty"`
+	Planner     string    `json:"planner,omitempty"`
+	Obstacle    string    `json:"obstacle,omitempty"`
+	Gain        float64   `json:"gain,omitempty"`
+	Lost        float64   `json:"lost,omitempty"`
+	Attempt     int       `json:"attempt,omitempty"`
+	WaitedMs    int64     `json:"waited_ms,omitempty"`
+	PatienceMs  int64     `json:"patience_ms,omitempty"`
+	QueuedMs    int64     `json:"queued_ms,omitempty"`
+	TookMs      int64     `json:"took_ms,omitempty"`
+	Manifest    int64     `json:"manifest,omitempty"`
+	AgeMs       int64     `json:"manifest_age_ms,omitempty"`
+	PauseMs     int64     `json:"pause_ms,omitempty"`
+	SilentMs    int64     `json:"silent_ms,omitempty"`
+	GivenUp     bool      `json:"given_up,omitempty"`
+	KeptBecause string    `json:"kept_because,omitempty"`
+	MayHaveRun  bool      `json:"may_have_run,omitempty"`
+	By          string    `json:"by,omitempty"`
+	Events      int       `json:"events,omitempty"`
+	InForceMs   int64     `json:"manifest_in_force_ms,omitempty"`
+	Final       bool      `json:"final,omitempty"`
 }
 
 // Step is one decision about a request or one event that concerns it.
@@ -189,7 +190,7 @@
 		if l.GivenUp {
 			return text + "another runner goes on"
 		}
-		return text + "no other runner can go on, or the retry budget is spent, so the attempt is kept"
+		return text + l.KeptBecause + ", so the attempt is kept"
 	case "runner leaves":
 		return fmt.Sprintf("runner %s has said that it leaves", l.Runner)
 	case "load delayed":
