Load no model at once at a runner that comes back with another software version

What callers could see: a stream of a runner that has just started again under its ID with another software version, begun through a VM that still knew the process of before, and noted there, and concluded elsewhere, as one of the version of before (ORDER).

Cause: a start holds nothing, but its leader read the entry and gave the first order within 40 ms; a load from disk takes 0.7 s, while the view of a VM that is in touch may be up to 2 s old (machine.ViewAge). So a request could find the model there before its VM knew of the start.

Change: the first load at such a process is given ViewAge after its entry was read, whether the entry of the process before was still there or had been removed. Starts with the same version, and runners with new IDs, are not held up.

--- a/fleet/machine/departures.go
+++ b/fleet/machine/departures.go
@@ -20,6 +20,7 @@
 // been read yet.
 type departure struct {
 	boot        int64
+	version     SoftwareVersion // empty: unknown
 	at          clock.Instant
 	leaving     bool // it has stated that it leaves
 	pausedUntil clock.Instant
--- a/fleet/machine/loads.go
+++ b/fleet/machine/loads.go
@@ -199,7 +199,7 @@
 // freeIn returns the expected time until a runner can take an order.
 func (s *Scheduler) freeIn(r *Runner, now clock.Instant) time.Duration {
 	if s.authority.MayOrder(r.ID, now) {
-		return s.localState(r).freeIn(now)
+		return max(s.localState(r).freeIn(now), r.ordersFrom.Sub(now))
 	}
 	return s.remoteState(r).freeIn(now)
 }
--- a/fleet/machine/outcome.go
+++ b/fleet/machine/outcome.go
@@ -277,7 +277,7 @@
 	state := s.localState(r)
 	v := RunnerView{
 		Runner: r.ID, Boot: r.Boot, Fence: fence, Version: s.changed[r.ID],
-		Known: state.reportRead && state.failures == 0, BusyFor: max(0, state.busyUntil.Sub(now)),
+		Known: state.reportRead && state.failures == 0, BusyFor: max(0, max(state.busyUntil, r.ordersFrom).Sub(now)),
 		Models: modelViews(r, now),
 	}
 	if !state.synced {
--- a/fleet/machine/placement.go
+++ b/fleet/machine/placement.go
@@ -267,7 +267,7 @@
 // idle reports whether a runner can take an order now.
 func (s *Scheduler) idle(r *Runner, now clock.Instant) bool {
 	if s.authority.MayOrder(r.ID, now) {
-		return s.localState(r).idle(now) && r.Paused(now) == 0
+		return s.localState(r).idle(now) && !r.ordersFrom.After(now) && r.Paused(now) == 0
 	}
 	return s.remoteState(r).idle(now) && s.authority.HearsLeader(r.ID)
 }
--- a/fleet/machine/runner.go
+++ b/fleet/machine/runner.go
@@ -97,6 +97,7 @@
 	authoritative bool          // this process leads the runner and has applied its report in this term
 	confirmedAt   clock.Instant // when the runner's report or its leader last stated the contents; zero: never
 	heartbeat     int64         // of the last entry applied
+	ordersFrom    clock.Instant // no order loads a model before; zero: any time
 	missingSince  clock.Instant // end of the outage of the store in which the entry lapsed; zero: it has not
 }
 
@@ -225,7 +226,11 @@
 		if r != nil {
 			change = Restarted
 		}
+		replaces := f.otherVersion(a)
 		r = newRunner(a)
+		if replaces {
+			r.ordersFrom = now.Add(ViewAge)
+		}
 		if d := f.departed[a.ID]; d.boot == a.Boot {
 			r.StatedLeaving, r.PausedUntil = d.leaving, d.pausedUntil
 		}
@@ -242,6 +247,16 @@
 	return change
 }
 
+// otherVersion reports whether a process is known of the same runner that had another software version. VMs whose view of the
+// store is not older than ViewAge must know the later process before it can run anything, so it gets no model before.
+func (f *Fleet) otherVersion(a Announcement) bool {
+	if r := f.runners[a.ID]; r != nil {
+		return r.Version != a.Version
+	}
+	d, known := f.departed[a.ID]
+	return known && d.boot != a.Boot && d.version != a.Version
+}
+
 // Remove drops a runner, usually because its store entry was removed. It reports whether the runner was known.
 func (f *Fleet) Remove(id RunnerID, now clock.Instant) bool {
 	delete(f.held, id)
@@ -249,7 +264,7 @@
 	if r == nil {
 		return false
 	}
-	f.departed[id] = departure{boot: r.Boot, at: now, leaving: r.StatedLeaving, pausedUntil: r.PausedUntil}
+	f.departed[id] = departure{boot: r.Boot, version: r.Version, at: now, leaving: r.StatedLeaving, pausedUntil: r.PausedUntil}
 	delete(f.runners, id)
 	f.sort()
 	return true
