Check which process of a runner sends the first event of a stream

What callers could see: a VM that is cut off from the store, or stood still between its decision and the answer, sends a new stream to a runner that has started again with another software version meanwhile. It noted the stream as one of the version of before, and all other VMs conclude the same from the missing record: the stream goes on at that version (ORDER). A call that goes on with a stream asks the runner for its start before it is sent, but a VM that stands still between question and request meets the same.

Cause: an attempt that begins a stream did not verify the process, whatever the age of the VM's view, and the question before a request says nothing of the time after it.

Change: before the first event of a resumable stream of an engine is passed on, its process must be proven: by a view of the store younger than machine.ViewAge, or by a question younger than that, else by a new question; a later process gets its first model only after that time. An attempt at a process that the view shows to be replaced by one of another version ends before the view counts as recent. A VM whose view is old also asks before it sends, so that nothing runs in vain. A VM in touch asks nothing more than before. After the store's return from an older copy, the view counts once the era has settled.

--- a/cmd/processtest/versions_test.go
+++ b/cmd/processtest/versions_test.go
@@ -7,12 +7,14 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/mangopass/mangopass/standin/deploy"
 	"github.com/mangopass/mangopass/standin/runner"
+	"github.com/mangopass/mangopass/standin/store"
 )
 
 // startVersions starts entry VMs and engines with the model tulip, one for each of the given software versions.
@@ -276,3 +278,35 @@
 		}
 	}
 }
+
+// TestStreamOfARunnerThatWasReplacedUnseen guards against a VM that is cut from the store and takes a runner that has started
+// again with another software version for the process of before: its streams would go on at the version of before.
+func TestStreamOfARunnerThatWasReplacedUnseen(t *testing.T) {
+	d := startVersions(t, 1, "v1", "v1")
+	if err := d.SetFaults(t.Context(), d.Store, store.Faults{Silent: true}); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(2200 * time.Millisecond) // streams with a key begin for 3.75 s
+	if err := d.SetFaults(t.Context(), d.Runners[0].Address, runner.Faults{Release: "v2"}); err != nil {
+		t.Fatal(err)
+	}
+	var begun []interruptedStream
+	for i := range 6 {
+		begun = append(begun, beginStream(t, d.Entries[0], fmt.Sprint("begun-", i), 3, nil))
+	}
+	var calls sync.WaitGroup
+	for i, s := range begun {
+		again := fmt.Sprint("again-", i)
+		calls.Go(func() {
+			if got := s.takeUp(t, d.Entries[0], again); !s.wantWhole(t, got, 40) {
+				t.Errorf("%s: got %+v, want the rest of the stream", again, got)
+			}
+		})
+	}
+	calls.Wait()
+	for i, s := range begun {
+		if versions := versionsOf(t, d, s.id, fmt.Sprint("again-", i)); len(versions) != 1 || !versions["v1"] {
+			t.Errorf("%s: runs at %v, want v1 only", s.id, versions)
+		}
+	}
+}
--- a/node/entry/admission.go
+++ b/node/entry/admission.go
@@ -262,13 +262,13 @@
 		runner: runner.ID, boot: runner.Boot, address: runner.Address, artifact: c.artifact, prefill: choice.Prefill,
 		timely: choice.Timely, expectedLatency: choice.Wait + choice.Prefill + link.FirstTokenTime,
 		limited: r.table.Limits.Limited(runner), deadline: c.deadline, priority: -1,
-		resumable: route.ResumableStream(), version: runner.Version,
+		resumable: route.ResumableStream(), version: runner.Version, engine: runner.Engine,
 	}
 	if a.resumable && !c.pinned {
 		a.begins, a.stream = true, link.NewStreamID(c.owner(), c.request.ID)
 		a.recorded = r.beginning(c.service, runner.Version, now) == machine.BeginsRecorded
 	}
-	a.verifyBoot = c.pinned && runner.Engine
+	a.verifyBoot = runner.Engine && (c.pinned || a.begins && !r.viewIsRecent(now))
 	if c.admitted.Organisation != nil {
 		a.organisation = c.admitted.Organisation.Name
 	}
@@ -279,7 +279,7 @@
 	}
 	a.silenceTimeout, a.soundSilence = silenceTimes(route, a, c.deadline.Sub(now))
 	a.ctx, a.cancel = context.WithCancelCause(c.ctx)
-	c.runner, c.cancel, r.inFlight[c] = runner.ID, a.cancel, true
+	c.cancel, c.sentTo, r.inFlight[c] = a.cancel, a, true
 	r.table.Limits.Sent(runner, now)
 	r.table.Link(runner).Sent(c.artifact, choice.Prefill, choice.Timely)
 	r.log.Info("sent", "request", c.request.ID, "route", route.Name, "runner", runner.ID, "version", runner.Version,
--- a/node/entry/callers.go
+++ b/node/entry/callers.go
@@ -30,6 +30,7 @@
 	cuts          cutLog
 	runners       *platform.RunnerClient
 	bodyLimit     *atomic.Int64   // bytes; set by the routing duty from the manifest
+	viewed        *atomic.Int64   // instant of which the routing duty knows the runners; set by it
 	cutoff        context.Context // cancelled when a planned stop waits no longer for answers
 	draining      atomic.Bool
 	openRequests  atomic.Int64 // requests without a final answer
@@ -78,6 +79,7 @@
 	writeRefusal func(w http.ResponseWriter, id string, refusal *contract.Refusal)
 
 	progressAt  clock.Instant // when the last event for the caller came; before the first one, when the request arrived
+	askedAt     clock.Instant // when the runner of the attempt was asked last which process it is; zero: it was not
 	headWritten bool
 	mayHaveRun  bool     // a runner may have begun to run the request
 	sent        passedOn // a resumed stream continues after its last event
@@ -178,6 +180,7 @@
 // attempt sends the request to a runner and forwards the answer to the caller.
 func (x *exchange) attempt(a attempt) attemptEnded {
 	begin := clock.Now()
+	x.askedAt = 0
 	end := attemptEnded{call: x.call, attempt: a}
 	ctx, cancel := a.ctx, a.cancel
 	defer cancel(nil)
@@ -213,17 +216,9 @@
 // send sends the request to the runner of an attempt, after it has been asked for its process if need be.
 func (x *exchange) send(ctx context.Context, a attempt) (*platform.Answer, error) {
 	if a.verifyBoot {
-		boot, stated, err := x.runners.FetchBoot(ctx, a.runner, a.address)
-		if err != nil {
+		if err := x.askProcess(ctx, a); err != nil {
 			return nil, err
 		}
-		if boot != a.boot {
-			return nil, errors.Mark(errors.Mark(
-				errors.Newf("the runner has started again: boot %d", boot), platform.ErrNoReplica), platform.ErrNotExecuted)
-		}
-		if stated.Leaving {
-			x.pushStated(a, stated)
-		}
 	}
 	return x.runners.Send(ctx, x.payload, platform.Attempt{
 		Runner: a.runner, Address: a.address, Organisation: a.organisation, Remaining: a.deadline.Sub(clock.Now()),
@@ -274,6 +269,8 @@
 		return resultStopped
 	case errors.Is(cause, errBlocked):
 		return resultWithdrawn
+	case errors.Is(cause, errOtherProcess), errors.Is(err, errOtherProcess), errors.Is(err, errNotProven):
+		return resultFailed
 	case x.call.ctx.Err() != nil, errors.Is(err, errNotTaken):
 		return resultCallerGone
 	}
@@ -338,6 +335,9 @@
 		}
 		x.progressAt = silence.reset()
 		if !end.started {
+			if err := x.checkProcess(ctx, a); err != nil {
+				return err
+			}
 			end.started = true
 			end.startReported = x.routing.TryPush(attemptStarted{call: x.call, attempt: a, took: clock.Now().Sub(begin)})
 		}
--- a/node/entry/cut.go
+++ b/node/entry/cut.go
@@ -94,6 +94,6 @@
 	if r.manifest != nil {
 		inForce = now.Sub(r.manifestSince)
 	}
-	r.cuts.record(c, cause, c.passedOn, now, "runner", c.runner, "sends", c.sends, "runs", c.runs, "given_up", c.givenUp,
+	r.cuts.record(c, cause, c.passedOn, now, "runner", c.sentTo.runner, "sends", c.sends, "runs", c.runs, "given_up", c.givenUp,
 		"manifest", r.manifestVersion(), "manifest_in_force_ms", inForce.Milliseconds())
 }
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -85,7 +85,8 @@
 	e.cancelRequests = cancel
 	streamRecords := ring.New[streamRecord]("stream records", streamRecordCapacity)
 	e.callHandler = &callHandler{
-		node: e.settings.ID, cuts: e.routing.cuts, routing: e.routing.intake, streamRecords: streamRecords, runners: runners, bodyLimit: &e.routing.bodyLimit, cutoff: cutoff,
+		node: e.settings.ID, cuts: e.routing.cuts, routing: e.routing.intake, streamRecords: streamRecords, runners: runners,
+		bodyLimit: &e.routing.bodyLimit, viewed: &e.routing.viewed, cutoff: cutoff,
 	}
 	e.startDuties(runners, registry, boot)
 	if err := e.listen(registry); err != nil {
--- a/node/entry/frontend_test.go
+++ b/node/entry/frontend_test.go
@@ -42,7 +42,10 @@
 	d.setUp()
 	limit := new(atomic.Int64)
 	limit.Store(1 << 20)
+	viewed := new(atomic.Int64)
+	viewed.Store(int64(clock.Now())) // the runners are known
 	d.handler = &callHandler{
+		viewed:  viewed,
 		routing: d.intake, runners: platform.NewRunnerClient(), bodyLimit: limit, cutoff: t.Context(), cuts: d.harness.cuts,
 	}
 	d.front = httptest.NewUnstartedServer(frontEnd(d.handler))
--- a/node/entry/message.go
+++ b/node/entry/message.go
@@ -36,9 +36,9 @@
 	runs      int           // of those, attempts that the runner may have executed
 	exclude   []machine.RunnerID
 	cancel    context.CancelCauseFunc // ends the attempt in progress; nil: there is none
+	sentTo    attempt                 // the last attempt
 	streaming bool                    // part of the answer has been sent to the caller
 	passedOn  passedOn                // by the attempts that have ended
-	runner    machine.RunnerID        // of the last attempt
 	givenUp   bool                    // an attempt was given up because its runner was silent
 	cut       bool                    // that the answer is cut off has been recorded
 	pinned    bool                    // its stream has begun and goes on only at runners of version
@@ -76,6 +76,7 @@
 	begins          bool          // the attempt's first event begins a resumable stream
 	recorded        bool          // the store must hold what begins the stream before its first event is passed on
 	stream          link.StreamID // of the stream that begins
+	engine          bool          // the runner is a model engine, which states its process when it is asked
 	verifyBoot      bool          // the runner must be asked first whether it still is the process that boot names
 	silenceTimeout  time.Duration // time without an event or answer after which the runner is suspected; zero: no limit
 	soundSilence    time.Duration // time between two events that a sound runner may take; zero: silenceTimeout
--- a/node/entry/routing.go
+++ b/node/entry/routing.go
@@ -47,6 +47,7 @@
 	tickPending   bool         // messages were applied too soon after the last tick for another one
 	ready         atomic.Bool  // read by the readiness probe
 	bodyLimit     atomic.Int64 // bytes; read by the front ends
+	viewed        atomic.Int64 // instant of viewedAt; read by the goroutines of requests
 	stopping      bool
 	stopWaitUntil clock.Instant // in a planned stop: from then on no call waits for a replica
 
--- a/node/entry/storechanges.go
+++ b/node/entry/storechanges.go
@@ -53,6 +53,7 @@
 	if r.manifest != nil && !r.lacksManifest(now) {
 		r.freshness.Confirm(m.sent)
 	}
+	r.publishView()
 }
 
 // noteWritten records the last write of the manifest in force, which a change shows or not. One in the store's present era
@@ -141,6 +142,7 @@
 		switch r.fleet.Announce(a, now) {
 		case machine.Unchanged, machine.Outdated:
 		default:
+			r.endReplacedAttempts(a.ID, a.Version)
 			r.leader.scheduler.RunnerAnnounced(a.ID, now)
 			r.log.Info("runner changed", "runner", a.ID, "service", a.Service, "zone", a.Zone,
 				"version", a.Version, "boot", a.Boot, "draining", a.Draining)
