Pass on the software version of a runner that states no start

What callers could see: VMs below a relay take streams of a runner for those of the version of before, for as long as it runs (ORDER).

Cause: a relay passes on only entries that say something new, and Runner.SameAs did not compare the software version. An entry without a start that changes its version counts as a restart at the VM that reads the store, and was never passed on.

Evidence: TestFeedPassesSoftwareVersionsOn failed before (the VM below knows v1) and passes now.

--- a/fleet/machine/runner.go
+++ b/fleet/machine/runner.go
@@ -116,7 +116,7 @@
 
 // SameAs reports whether an announcement states nothing new of the runner but its heartbeat and its contents.
 func (r *Runner) SameAs(a Announcement) bool {
-	return r.Boot == a.Boot && r.Service == a.Service && r.Address == a.Address && r.Zone == a.Zone &&
+	return r.Boot == a.Boot && r.Version == a.Version && r.Service == a.Service && r.Address == a.Address && r.Zone == a.Zone &&
 		r.Slots == a.Slots && r.Draining == a.Draining && r.Engine == (r.Engine || a.HasEngine) &&
 		(r.LeavesAt != 0) == (a.LeavesIn > 0)
 }
--- a/node/entry/feed_test.go
+++ b/node/entry/feed_test.go
@@ -193,3 +193,24 @@
 		}
 	}
 }
+
+// TestFeedPassesSoftwareVersionsOn guards against a VM below a relay that never learns of the software version of a runner which
+// states no start, and takes its streams for those of the version of before.
+func TestFeedPassesSoftwareVersionsOn(t *testing.T) {
+	f := newFeedPair(t)
+	entry := func(revision int64, version string) runnerChange {
+		e := platform.Entry{Key: platform.PrefixRunners + "r", Revision: revision, Value: []byte(`{"service":"e","address":"1.1.1.1:1",
+			"zone":"z","version":"` + version + `","slots":8,"state":"ready","stage":"mixed"}`)}
+		a, err := platform.DecodeRunner(e)
+		return runnerChange{id: "r", entry: e, announcement: a, invalid: err}
+	}
+	for i, version := range []machine.SoftwareVersion{"v1", "v2"} {
+		revision := int64(12 + i)
+		f.relay.apply(storeChanged{runners: []runnerChange{entry(revision, string(version))}, position: at(revision), sent: f.relay.now})
+		f.exchange()
+		f.exchange()
+		if r := f.child.fleet.Get("r"); r == nil || r.Version != version {
+			t.Errorf("the VM below knows %+v, want version %s", r, version)
+		}
+	}
+}
