Count anew when a version was dropped and listed again unseen

What callers could see: a further version begins streams while a VM still concludes that there is one version only; that VM lets them go on at the default one (ORDER).

Cause: a watch that was cut off, and each feed of a relay, shows only the last value of a service's record. A VM that knew a version as open and next read it as listed kept the time of the first listing. In the same way it counted an undecided record from an earlier one.

Change: the times count from the reading of a record unless it is known to follow the one before, as this VM's own writes do, which are conditional on its revision.

Evidence: TestVersionThatWasListedAnewIsNotOpenedAtOnce fails with the times kept as before (both parts) and passes now.

--- a/fleet/machine/versions.go
+++ b/fleet/machine/versions.go
@@ -93,7 +93,7 @@
 
 type serviceVersions struct {
 	record         VersionRecord
-	listedAt       map[SoftwareVersion]clock.Instant // when the version was first read as one of the others
+	listedAt       map[SoftwareVersion]clock.Instant // since when the version is known to be one of the others
 	absentSince    map[SoftwareVersion]clock.Instant // since when no runner has the version
 	undecidedSince clock.Instant
 	minoritySince  clock.Instant // since when another version has a majority over the default one; zero: none has
@@ -112,8 +112,9 @@
 	return VersionRecord{}, false
 }
 
-// Set replaces the record of a service by one that was read.
-func (b *VersionBook) Set(s contract.ServiceName, record VersionRecord, now clock.Instant) {
+// Set replaces the record of a service by one that was written after it. missed says that other records may have been in force
+// between the two: a version that is listed in both may have been dropped and listed anew.
+func (b *VersionBook) Set(s contract.ServiceName, record VersionRecord, missed bool, now clock.Instant) {
 	v := b.services[s]
 	if v == nil {
 		v = &serviceVersions{
@@ -121,13 +122,13 @@
 		}
 		b.services[s] = v
 	}
-	if record.Undecided && !v.record.Undecided {
+	if record.Undecided && (missed || !v.record.Undecided) {
 		v.undecidedSince = now
 	}
 	v.record = record
 	maps.DeleteFunc(v.listedAt, func(version SoftwareVersion, _ clock.Instant) bool { return record.Others[version] == "" })
-	for version := range record.Others {
-		if _, known := v.listedAt[version]; !known {
+	for version, state := range record.Others {
+		if _, known := v.listedAt[version]; !known || missed && state == VersionListed {
 			v.listedAt[version] = now
 		}
 	}
--- a/fleet/machine/versions_test.go
+++ b/fleet/machine/versions_test.go
@@ -18,7 +18,7 @@
 func (p *versionPlan) run(d time.Duration, lost bool, runners map[SoftwareVersion]int) VersionRecord {
 	for end := p.now.Add(d); p.now.Before(end); p.now = p.now.Add(100 * time.Millisecond) {
 		if next, changed := p.Next("s", runners, lost, p.now); changed {
-			p.Set("s", next, p.now)
+			p.Set("s", next, false, p.now)
 			p.writes++
 		}
 		lost = false
@@ -94,3 +94,28 @@
 		t.Errorf("record %+v although there was one version only", record)
 	}
 }
+
+// TestVersionThatWasListedAnewIsNotOpenedAtOnce guards against a planner that has missed that a version was dropped, or that there
+// was a default version, and counts from before.
+func TestVersionThatWasListedAnewIsNotOpenedAtOnce(t *testing.T) {
+	p := versionPlan{VersionBook: NewVersionBook(), now: start}
+	p.run(10*time.Second, false, map[SoftwareVersion]int{"a": 2, "b": 1})
+	both := map[SoftwareVersion]int{"a": 2, "b": 1}
+	p.Set("s", VersionRecord{Default: "a", Others: map[SoftwareVersion]VersionState{"b": VersionListed}}, true, p.now)
+	if record := p.run(ViewAge, false, both); record.Begins("b") != MayNotBegin {
+		t.Errorf("record %+v within %v of the listing", record, ViewAge)
+	}
+	if record := p.run(time.Second, false, both); record.Begins("b") != BeginsRecorded {
+		t.Errorf("record %+v, want b open", record)
+	}
+	undecided := VersionRecord{Undecided: true, Others: map[SoftwareVersion]VersionState{"a": VersionOpen, "b": VersionOpen}}
+	p.Set("s", undecided, true, p.now)
+	p.run(2*StreamMemory-time.Second, false, both)
+	p.Set("s", undecided, true, p.now)
+	if record := p.run(2*StreamMemory-time.Second, false, both); !record.Undecided {
+		t.Errorf("record %+v while streams without a record may live", record)
+	}
+	if record := p.run(2*time.Second, false, both); record.Undecided {
+		t.Errorf("record %+v after them", record)
+	}
+}
--- a/node/entry/members.go
+++ b/node/entry/members.go
@@ -193,7 +193,7 @@
 		} else if strings.HasPrefix(c.key, prefixBlocked) {
 			r.applyStoredPart(c, now)
 		} else if strings.HasPrefix(c.key, prefixVersions) {
-			r.applyVersions(c, now)
+			r.applyVersions(c, link.Position{}, now)
 		} else if c.key == keySettledEra {
 			r.applySettledEra(c)
 		}
--- a/node/entry/versions.go
+++ b/node/entry/versions.go
@@ -62,13 +62,15 @@
 	}
 }
 
-// applyVersions applies a change of a service's key. What is known stays if the key is removed.
-func (r *routing) applyVersions(c ownKeyChange, now clock.Instant) {
+// applyVersions applies a change of a service's key, which follows the one that this VM has applied last if replaces is that
+// one's position. What is known stays if the key is removed.
+func (r *routing) applyVersions(c ownKeyChange, replaces link.Position, now clock.Instant) {
 	service := contract.ServiceName(strings.TrimPrefix(c.key, prefixVersions))
 	key := r.versions.keys[service]
 	if c.at().Before(key.applied) {
 		return // a later change was applied when it was written
 	}
+	missed := c.at() != key.applied && replaces != key.applied
 	key.applied, key.revision = c.at(), c.revision
 	var e versionEntry
 	if err := json.Unmarshal(c.value, &e); c.gone {
@@ -82,7 +84,7 @@
 			r.log.Info("software versions", "service", service, "default", e.Default, "undecided", e.Undecided,
 				"others", e.Others, "era", e.Era, "revision", c.revision)
 		}
-		r.versions.book.Set(service, e.record(), now)
+		r.versions.book.Set(service, e.record(), missed, now)
 		key.writtenIn, key.outdatedAt = e.Era, 0
 	}
 	r.versions.keys[service] = key
@@ -176,7 +178,8 @@
 	if !strings.HasPrefix(m.write.key, prefixVersions) || m.at.Era != r.era.newest {
 		return
 	}
-	r.applyVersions(ownKeyChange{key: m.write.key, value: m.value, era: m.at.Era, revision: m.at.Revision}, now)
+	replaces := link.Position{Era: m.write.era, Revision: m.write.revision}
+	r.applyVersions(ownKeyChange{key: m.write.key, value: m.value, era: m.at.Era, revision: m.at.Revision}, replaces, now)
 	service := contract.ServiceName(strings.TrimPrefix(m.write.key, prefixVersions))
 	key := r.versions.keys[service]
 	key.writtenAt = 0
