Count the absence of a version only while the runners are seen

What callers could see: after a release, a VM that was out of step drops a version, or replaces the default one, while streams of it live; all VMs then take them for streams of the default version (ORDER).

Cause: a VM counted since when no runner has a version on its own view, also over a time in which it stood still or was cut off. A version whose runners came, began streams and crashed in that time counted as absent for a minute.

Change: after a time without a recent view the absence counts anew, and a VM without a recent view writes no record.

Evidence: TestAbsenceIsCountedWhileItIsSeen fails without the reset, for both kinds of gap, and passes now.

--- a/fleet/machine/versions.go
+++ b/fleet/machine/versions.go
@@ -89,6 +89,7 @@
 // they say.
 type VersionBook struct {
 	services map[contract.ServiceName]*serviceVersions
+	lookedAt clock.Instant // last look at the runners; zero: none
 }
 
 type serviceVersions struct {
@@ -134,6 +135,17 @@
 	}
 }
 
+// Look notes that this VM looks at the runners, and whether its view of them is recent. After a time without a recent view, the
+// absence of a version counts anew: it may have had runners, and streams, meanwhile.
+func (b *VersionBook) Look(recent bool, now clock.Instant) {
+	if !recent || b.lookedAt != 0 && now.Sub(b.lookedAt) > ViewAge {
+		for _, v := range b.services {
+			clear(v.absentSince)
+		}
+	}
+	b.lookedAt = now
+}
+
 // Next returns the record that the planner writes next for a service, given the number of its runners of each version. lost
 // says that records of streams may be lost.
 func (b *VersionBook) Next(
--- a/fleet/machine/versions_test.go
+++ b/fleet/machine/versions_test.go
@@ -17,6 +17,7 @@
 // run lets the planner look at the runners for the given time and returns the record after that.
 func (p *versionPlan) run(d time.Duration, lost bool, runners map[SoftwareVersion]int) VersionRecord {
 	for end := p.now.Add(d); p.now.Before(end); p.now = p.now.Add(100 * time.Millisecond) {
+		p.Look(true, p.now)
 		if next, changed := p.Next("s", runners, lost, p.now); changed {
 			p.Set("s", next, false, p.now)
 			p.writes++
@@ -119,3 +120,24 @@
 		t.Errorf("record %+v after them", record)
 	}
 }
+
+// TestAbsenceIsCountedWhileItIsSeen guards against a VM that was cut off or stood still, and takes a version for one that has had no
+// runners for a minute, while its streams of the last seconds live.
+func TestAbsenceIsCountedWhileItIsSeen(t *testing.T) {
+	for name, gap := range map[string]func(p *versionPlan){
+		"cut off":     func(p *versionPlan) { p.Look(false, p.now) },
+		"stood still": func(p *versionPlan) { p.now = p.now.Add(ViewAge) },
+	} {
+		p := versionPlan{VersionBook: NewVersionBook(), now: start}
+		p.run(10*time.Second, false, map[SoftwareVersion]int{"a": 2, "b": 1})
+		onlyA := map[SoftwareVersion]int{"a": 2}
+		p.run(StreamMemory-ViewAge, false, onlyA)
+		gap(&p)
+		if record := p.run(StreamMemory-time.Second, false, onlyA); record.Single() {
+			t.Errorf("%s: record %+v, want b kept for a minute after the gap", name, record)
+		}
+		if record := p.run(2*time.Second, false, onlyA); !record.Single() {
+			t.Errorf("%s: record %+v, want b dropped", name, record)
+		}
+	}
+}
--- a/node/entry/versions.go
+++ b/node/entry/versions.go
@@ -132,6 +132,10 @@
 		return
 	}
 	v.checkedAt = now
+	recent := r.viewIsRecent(now)
+	if v.book.Look(recent, now); !recent {
+		return // what this VM knows of the runners may have changed
+	}
 	if r.era.newest > link.FirstEra && !r.freshness.EraSettled() {
 		return // runners whose entries the copy lacks are missing
 	}
