Conclude no version from an older copy of the store that has not settled

Cause: a manifest that the operators write again in the new era proves the manifest, and so made the view count as recent at once. The copy may still lack the entry of the version and of its runners, which come back within about two seconds.

Change: take-ups conclude that there is one version only from a view that counts as recent once the era has settled. Until then the stream's record is read.

Evidence: TestRestoredStoreIsNoRecentView failed before (sent to a runner of v1 without reading the record) and passes now.

--- a/node/entry/process_test.go
+++ b/node/entry/process_test.go
@@ -12,7 +12,9 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/mangopass/mangopass/duty/clock"
+	"github.com/mangopass/mangopass/duty/ring"
 	"github.com/mangopass/mangopass/fleet/contract"
+	"github.com/mangopass/mangopass/fleet/link"
 	"github.com/mangopass/mangopass/fleet/machine"
 	"github.com/mangopass/mangopass/platform"
 )
@@ -107,3 +109,27 @@
 		runner.Close()
 	}
 }
+
+// TestRestoredStoreIsNoRecentView guards against taking all streams for those of the default version by an older copy of the store,
+// because a manifest that was written again proves the keys: entries of runners and versions may still be missing.
+func TestRestoredStoreIsNoRecentView(t *testing.T) {
+	h := newHarness()
+	h.streams.reads = originReads{ring.New[originRead]("origins", 4)}
+	manifest := func(revision int64) *platform.Entry {
+		return &platform.Entry{Key: platform.KeyManifest, Value: testManifest(1), Revision: revision}
+	}
+	position := func(revision int64) link.Position { return link.Position{Era: link.FirstEra + 1, Revision: revision} }
+	h.apply(storeChanged{
+		manifest: manifest(5), complete: true, sent: h.now, position: position(10), runners: []runnerChange{engineOf("e1", 1, "v1")},
+		ownKeys: []ownKeyChange{{key: prefixVersions + "e", revision: 2, value: marshal(versionEntry{Default: "v1", Era: link.FirstEra})}},
+	})
+	h.now = h.now.Add(300 * time.Millisecond)
+	h.apply(storeChanged{manifest: manifest(12), sent: h.now, position: position(12)})
+	if !h.freshness.Fresh(h.now) {
+		t.Fatal("a manifest that was written again is no proof")
+	}
+	h.now = h.now.Add(100 * time.Millisecond)
+	if _, d := h.chat("q", "3", "begun"); d != nil || h.streams.reads.ring.Len() != 1 {
+		t.Errorf("decision %+v, want the stream's record read", d)
+	}
+}
--- a/node/entry/streams.go
+++ b/node/entry/streams.go
@@ -81,7 +81,7 @@
 		r.takeUp(c, origin, fromMemory, now)
 		return
 	}
-	if one, single := r.oneVersion(c.service); single && r.freshness.Age(now) < machine.ViewAge {
+	if one, single := r.oneVersion(c.service); single && r.viewIsRecent(now) {
 		r.takeUp(c, link.Origin{Service: c.service, Version: one}, fromOneVersion, now)
 		return
 	}
