Begin no stream by a record of the versions that is a minute old

What callers could see: a VM that is cut from the store for over a minute begins streams on public routes at what its old record names as the default version. When another version has become the default one meanwhile, all other VMs take these streams for ones of it (ORDER).

Change: from machine.MaxRecordAge (1 min) on, no resumable stream begins; the caller is told at once, as not run, to come back in a second. The bound follows from two times: a default version is replaced 2*StreamMemory after it was given up or had no runner, and a stream lives for StreamMemory. Other answers on public routes go on.

Weighed: refusing from ViewAge on (it would take the streams of public routes along in each outage of the store).

Evidence: TestNoStreamBeginsByAnOldRecord failed before (sent at any age) and passes now.

--- a/fleet/machine/versions.go
+++ b/fleet/machine/versions.go
@@ -19,6 +19,10 @@
 	// ViewAge is the oldest view of the versions in the store from which a VM concludes that a stream has no record of its
 	// own. A further version begins streams only once it has been listed for longer.
 	ViewAge = 2 * time.Second
+	// MaxRecordAge is the age of a VM's record from which on it begins no streams. One of the default version may have no record
+	// of its own, so it must have ended when another version is the default one: that takes 2*StreamMemory from when the version
+	// is given up or has no runners, and a stream lives for StreamMemory.
+	MaxRecordAge = 2*StreamMemory - StreamMemory
 	// majority is how many times as many runners as the default version another one must have to replace it.
 	majority = 2
 )
--- a/node/entry/admission.go
+++ b/node/entry/admission.go
@@ -53,6 +53,9 @@
 		r.findOrigin(c, now)
 		return
 	}
+	if r.refuseOldRecord(c, now) {
+		return
+	}
 	r.enter(c, now)
 }
 
--- a/node/entry/process_test.go
+++ b/node/entry/process_test.go
@@ -110,6 +110,27 @@
 	}
 }
 
+// TestNoStreamBeginsByAnOldRecord guards against streams that a VM begins at a version which others may have replaced as the
+// default one before the streams end.
+func TestNoStreamBeginsByAnOldRecord(t *testing.T) {
+	for age, refused := range map[time.Duration]bool{machine.MaxRecordAge - time.Second: false, machine.MaxRecordAge: true} {
+		h := newHarness()
+		h.setUp()
+		h.freshness.SetBound(time.Hour) // as on a public route
+		h.apply(storeChanged{sent: h.now, runners: []runnerChange{engineOf("e1", 1, "v1")}, ownKeys: []ownKeyChange{
+			{key: prefixVersions + "e", value: marshal(versionEntry{Default: "v1"}), revision: 2},
+		}})
+		h.now = h.now.Add(age)
+		_, d := h.chat("q", "", "")
+		if d == nil || (d.refusal != nil) != refused {
+			t.Fatalf("record of %v: decision %+v, want a refusal: %v", age, d, refused)
+		}
+		if refused && (d.refusal.Code != contract.StreamUnrecorded || d.refusal.MayHaveRun || d.refusal.RetryAfter == 0) {
+			t.Errorf("refusal %+v", d.refusal)
+		}
+	}
+}
+
 // TestRestoredStoreIsNoRecentView guards against taking all streams for those of the default version by an older copy of the store,
 // because a manifest that was written again proves the keys: entries of runners and versions may still be missing.
 func TestRestoredStoreIsNoRecentView(t *testing.T) {
--- a/node/entry/storechanges.go
+++ b/node/entry/storechanges.go
@@ -53,6 +53,7 @@
 	if r.manifest != nil && !r.lacksManifest(now) {
 		r.freshness.Confirm(m.sent)
 	}
+	r.versions.readAt = max(r.versions.readAt, m.sent)
 	r.publishView()
 }
 
--- a/node/entry/streams.go
+++ b/node/entry/streams.go
@@ -54,6 +54,17 @@
 	reads       originReads
 }
 
+// refuseOldRecord refuses a call that would begin a resumable stream by a record of the versions that is too old for it. It reports
+// whether it has done so.
+func (r *routing) refuseOldRecord(c *call, now clock.Instant) bool {
+	if age := now.Sub(r.versions.readAt); c.admitted.Route.ResumableStream() && age >= machine.MaxRecordAge {
+		r.refuse(c, contract.Refuse(contract.StreamUnrecorded, originRetryAfter,
+			"the software versions known here are %s old", age.Round(time.Second)), now)
+		return true
+	}
+	return false
+}
+
 // canRecordStreams reports whether a stream that begins now can be expected to be recorded in time.
 func (r *routing) canRecordStreams(now clock.Instant) bool {
 	return r.streams.records && !now.Before(r.streams.pausedUntil) && r.freshness.Age(now) < machine.ViewAge
--- a/node/entry/versions.go
+++ b/node/entry/versions.go
@@ -39,6 +39,7 @@
 	book      *machine.VersionBook
 	keys      map[contract.ServiceName]versionKey
 	checkedAt clock.Instant
+	readAt    clock.Instant // sending of the last call to the store whose answer this VM knows
 }
 
 // versionKey is what this VM knows of a service's key.
@@ -118,7 +119,7 @@
 	case !kept && begins == machine.BeginsDefault && !(single && one == v):
 		begins = machine.BeginsRecorded
 	}
-	if begins == machine.BeginsRecorded && !r.canRecordStreams(now) {
+	if begins == machine.BeginsRecorded && !r.canRecordStreams(now) || now.Sub(r.versions.readAt) >= machine.MaxRecordAge {
 		return machine.MayNotBegin
 	}
 	return begins
