Run no more loads at a time than the weight store serves at full speed

Cause, from the logs: the weight store serves two loads at a time at full speed there (four elsewhere), which no entry states. A load that begins beside n-1 others takes n/2 times as long: 7.9 s for the first two of four, then 11.8 and 15.8 s. The planner always ran four, so each took 15.8 s, and no more models were loaded a minute than with two.

Change: WeightStore learns the number from the times that loads take, after two slow ones; the larger of the two counts, since a late report makes a load look slower. It is forgotten after ten minutes. The longest time in which a load counts as in progress without a report follows the number of loads at a time: a load beside three others at a store that serves one took longer, and counted as done.

Measured: TestLoadsDoNotSlowEachOtherDown fails with four at a time (loads take twice as long, at a store that serves one up to twelve times) and passes.

--- a/fleet/machine/loads.go
+++ b/fleet/machine/loads.go
@@ -130,7 +130,7 @@
 			Runner: best.runner.ID, Boot: best.runner.Boot, Model: a.Model, Victims: best.victims, Drain: best.inUse,
 		}, now, plan)
 		if m := s.engine(best.runner).Models[a.Model]; s.loadTime(best.runner, m) == m.LoadCold {
-			s.addColdLoad(best.runner, a.Model, now)
+			s.weights.begin(placeOf(best.runner, a.Model), now)
 		}
 		s.addReplica(best.runner, a.Model)
 	default:
@@ -163,7 +163,7 @@
 		return loadTarget{}, NoRunner
 	}
 	loadTime := s.loadTime(r, model)
-	if loadTime == model.LoadCold && !s.mayLoadCold(e) {
+	if loadTime == model.LoadCold && !s.weights.mayLoad(e, now) {
 		return loadTarget{}, StoreBusy
 	}
 	reserved := s.reserved[r.ID]
@@ -215,11 +215,11 @@
 	return m.LoadCold
 }
 
-// countColdLoads counts the loads from the weight store that are in progress or about to start, and drops the starts
-// that are older than coldLoadWindow. A load in progress counts as one from the weight store while it has more time
-// left than a load from disk takes.
-func (s *Scheduler) countColdLoads(now clock.Instant) {
-	s.coldLoads = 0
+// observeColdLoads tells the weight store which loads are in progress or about to start. A load in progress counts as one
+// from the weight store while it has more time left than a load from disk takes.
+func (s *Scheduler) observeColdLoads(now clock.Instant) {
+	s.weights.count = 0
+	inProgress := make(map[Place]time.Duration)
 	for _, r := range s.fleet.All() {
 		e := s.engine(r)
 		if e == nil {
@@ -227,33 +227,24 @@
 		}
 		for name, replica := range r.Replicas {
 			if replica.ReadyAt.Sub(now) > e.Models[name].LoadDisk+loadMargin {
-				s.addColdLoad(r, name, now)
+				place := placeOf(r, name)
+				s.weights.begin(place, now)
+				inProgress[place] = e.Models[name].LoadCold
 			}
 		}
 		if name := s.incomingModel(r, now); name != "" {
 			if m, ok := e.Models[name]; ok && s.loadTime(r, m) == m.LoadCold {
-				s.addColdLoad(r, name, now)
+				s.weights.begin(placeOf(r, name), now)
 			}
 		}
 	}
-	for place, began := range s.coldLoadStarts {
-		if now.Sub(began) > coldLoadWindow {
-			delete(s.coldLoadStarts, place)
-		}
-	}
-}
-
-// addColdLoad counts one load from the weight store. Its start is recorded only once.
-func (s *Scheduler) addColdLoad(r *Runner, name contract.ModelName, now clock.Instant) {
-	s.coldLoads++
-	place := Place{r.ID, Artifact{Service: r.Service, Model: name}}
-	if _, known := s.coldLoadStarts[place]; !known {
-		s.coldLoadStarts[place] = now
-	}
+	s.weights.observe(inProgress, func(p Place) bool {
+		r := s.fleet.Get(p.Runner)
+		return r != nil && r.Replica(p.Artifact.Model).Ready("", now)
+	}, now)
 }
 
-// mayLoadCold reports whether the weight store's limits on concurrent loads and on their rate allow one more load.
-func (s *Scheduler) mayLoadCold(e *contract.Engine) bool {
-	return s.coldLoads < maxColdLoads &&
-		float64(len(s.coldLoadStarts)+1) <= max(1, e.LoadsPerSecond*coldLoadWindow.Seconds())
+// placeOf returns the place of a model on a runner.
+func placeOf(r *Runner, name contract.ModelName) Place {
+	return Place{r.ID, Artifact{Service: r.Service, Model: name}}
 }
--- a/fleet/machine/loads_test.go
+++ b/fleet/machine/loads_test.go
@@ -34,7 +34,7 @@
 		}, []int{1}, NoRunner},
 		{"the weight store is at its limit", func(sim *simulation) {
 			sim.scheduler.services["s"].Engine.LoadsPerSecond = 0.2
-			sim.scheduler.coldLoadStarts[Place{"r9", artifact(5, 0)}] = sim.now
+			sim.scheduler.weights.starts[Place{"r9", artifact(5, 0)}] = sim.now
 		}, []int{1}, StoreBusy},
 		{"requests wait for the loaded models", func(sim *simulation) {
 			for _, replica := range sim.fleet.Get("r0").Replicas {
--- a/fleet/machine/localstate.go
+++ b/fleet/machine/localstate.go
@@ -31,7 +31,7 @@
 	// it.
 	missingPause = 120 * time.Millisecond
 	// maxColdLoadFactor is the longest expected duration of a load from the weight store, in units of the stated one.
-	maxColdLoadFactor = 3
+	maxColdLoadFactor = defaultParallelLoads + 1
 	// maxConflicts is the number of conflicts in a row after which the runner is asked for its state.
 	maxConflicts = 8
 )
--- a/fleet/machine/modeldemand.go
+++ b/fleet/machine/modeldemand.go
@@ -55,7 +55,7 @@
 func (s *Scheduler) summarizeDemand(now clock.Instant) {
 	clear(s.modelDemands)
 	clear(s.evictable)
-	s.countColdLoads(now)
+	s.observeColdLoads(now)
 	for need, d := range s.demands {
 		sum := s.demandFor(need.Base())
 		q := d.total()
--- a/fleet/machine/placement.go
+++ b/fleet/machine/placement.go
@@ -40,10 +40,6 @@
 	unloadTime = 50 * time.Millisecond
 	// drainTime is the usual time until the requests that run on a model have ended, so that it can be unloaded.
 	drainTime = 600 * time.Millisecond
-	// maxColdLoads is the number of loads at a time that the weight store serves at full speed.
-	maxColdLoads = 4
-	// coldLoadWindow is the time over which loads from the weight store are counted to limit their rate.
-	coldLoadWindow = 5 * time.Second
 	// planPeriod is the shortest time between two runs of the placement.
 	planPeriod = 20 * time.Millisecond
 	// prunePeriod is the time between two removals of demand and states that are no longer needed.
@@ -98,12 +94,12 @@
 	prunedAt        clock.Instant          // last removal of demand and states that are no longer needed
 	delayReportedAt map[Need]clock.Instant // last report of the delay of a model
 
-	// Rebuilt in each run of the placement, except for coldLoadStarts.
-	modelDemands   map[Need]*modelDemand
-	evictable      map[RunnerID][]candidate // the cheapest to unload first
-	coldLoads      int                      // loads from the weight store, in progress or about to start
-	coldLoadStarts map[Place]clock.Instant  // those that started within coldLoadWindow
-	reserved       map[RunnerID]int         // models that wait for a busy runner in this run
+	weights *weightStore
+
+	// Rebuilt in each run of the placement.
+	modelDemands map[Need]*modelDemand
+	evictable    map[RunnerID][]candidate // the cheapest to unload first
+	reserved     map[RunnerID]int         // models that wait for a busy runner in this run
 
 	idleUnload  *unloadWait // after the unload of a model that no request uses
 	drainUnload *unloadWait // after the unload of a model with running requests
@@ -121,7 +117,7 @@
 		remoteStates: make(map[RunnerID]*remoteState), demands: make(map[Need]*demand),
 		delayReportedAt: make(map[Need]clock.Instant),
 		modelDemands:    make(map[Need]*modelDemand), evictable: make(map[RunnerID][]candidate),
-		reserved: make(map[RunnerID]int), coldLoadStarts: make(map[Place]clock.Instant),
+		reserved: make(map[RunnerID]int), weights: newWeightStore(),
 		idleUnload: newIdleUnloadWait(), drainUnload: newDrainUnloadWait(),
 		changed: make(map[RunnerID]uint64), earlyViews: make(map[RunnerID]earlyView),
 	}
--- a/fleet/machine/placement_test.go
+++ b/fleet/machine/placement_test.go
@@ -210,8 +210,8 @@
 			Models: []ModelView{{Model: modelName(7), ReadyIn: 15 * time.Second}},
 		}, "leader", false, sim.now)
 	}
-	if sim.scheduler.countColdLoads(sim.now); sim.scheduler.coldLoads != 6 {
-		t.Errorf("%d loads from the weight store counted, want 6", sim.scheduler.coldLoads)
+	if sim.scheduler.observeColdLoads(sim.now); sim.scheduler.weights.count != 6 {
+		t.Errorf("%d loads from the weight store counted, want 6", sim.scheduler.weights.count)
 	}
 }
 
--- /dev/null
+++ b/fleet/machine/weightstore_test.go
@@ -0,0 +1,102 @@
+package machine
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/mangopass/mangopass/duty/clock"
+)
+
+// slowingStore is a weight store that serves a number of loads at a time at full speed. A load that begins beside more takes
+// longer in proportion.
+type slowingStore struct {
+	parallel int
+	ends     []clock.Instant // of the loads that have begun
+}
+
+// begin returns the time that a load takes that begins now, and how many times longer that is than at full speed.
+func (w *slowingStore) begin(stated time.Duration, now clock.Instant) (took time.Duration, slowdown float64) {
+	running := 1
+	for _, end := range w.ends {
+		if end.After(now) {
+			running++
+		}
+	}
+	slowdown = max(1, float64(running)/float64(w.parallel))
+	took = time.Duration(float64(stated) * slowdown)
+	w.ends = append(w.ends, now.Add(took))
+	return took, slowdown
+}
+
+// loadsFrom lets requests wait for models that no engine has a copy of, for the given time, and returns how many times longer
+// than at full speed each of their loads took.
+func loadsFrom(w *slowingStore, duration time.Duration) (slowdowns []float64) {
+	const models = 60
+	sim := newSimulation(12, models)
+	for _, e := range sim.engines {
+		clear(e.held)
+	}
+	next := 0
+	for sim.now.Sub(start) < duration {
+		sim.advance(planPeriod)
+		var waiting []DemandReport
+		for i := range 8 {
+			waiting = append(waiting, DemandReport{Artifact: artifact((next+i)%models, 0), Waiting: 1, Arrivals: 1})
+		}
+		sim.scheduler.Observe("n", waiting, sim.now)
+		plan := sim.scheduler.Plan(true, sim.now)
+		for _, q := range plan.StateQueries {
+			sim.scheduler.HandleReport(q.ID, q.Boot, sim.engines[q.ID].contents(sim.now), true, sim.now)
+		}
+		for _, o := range plan.Orders {
+			took := time.Second
+			if o.Kind == Load && !slices.Contains(sim.fleet.Get(o.Runner).OnDisk, o.Model) {
+				var slowdown float64
+				took, slowdown = w.begin(sim.engines[o.Runner].spec.Models[o.Model].LoadCold, sim.now)
+				slowdowns = append(slowdowns, slowdown)
+			}
+			if o.Kind == Load {
+				next++
+			}
+			sim.scheduler.HandleOutcome(o, sim.engines[o.Runner].handleOrder(o, took, sim.now), sim.now)
+		}
+	}
+	return slowdowns
+}
+
+// TestLoadsDoNotSlowEachOtherDown guards against more loads at a time than the weight store serves at full speed, as after
+// engines were replaced by empty ones: each load then takes twice as long, and requests wait in vain for their models.
+func TestLoadsDoNotSlowEachOtherDown(t *testing.T) {
+	const learned = 12 // loads that have begun by the time at which the slow ones among the first have ended
+	for parallel := 1; parallel <= defaultParallelLoads; parallel++ {
+		slowdowns := loadsFrom(&slowingStore{parallel: parallel}, 2*time.Minute)
+		if len(slowdowns) < 10 {
+			t.Fatalf("%d at a time: %d loads in two minutes", parallel, len(slowdowns))
+		}
+		for i, slowdown := range slowdowns[learned:] {
+			if slowdown > 1 {
+				t.Errorf("%d at a time: load %d took %.2f times as long as at full speed", parallel, learned+i+1, slowdown)
+			}
+		}
+	}
+}
+
+// TestWeightStoreIsUsedInFull guards the rate of loads: single loads that look slow because their runners report late must not
+// lower the number of loads at a time, and one that was slow long ago must not either.
+func TestWeightStoreIsUsedInFull(t *testing.T) {
+	w := newWeightStore()
+	late := coldLoad{began: start, beside: 1, stated: 6 * time.Second}
+	w.learn(late, start.Add(20*time.Second))
+	if n := w.parallel(start.Add(20 * time.Second)); n != defaultParallelLoads {
+		t.Errorf("%d loads at a time after one that looked slow, want %d", n, defaultParallelLoads)
+	}
+	slowed := coldLoad{began: start, beside: 4, stated: 6 * time.Second}
+	w.learn(slowed, start.Add(12*time.Second))
+	if n := w.parallel(start.Add(20 * time.Second)); n != 2 {
+		t.Errorf("%d loads at a time after a late report and a load that took twice as long beside three others, want 2", n)
+	}
+	if n := w.parallel(start.Add(20*time.Second + slowLoadMemory)); n != defaultParallelLoads {
+		t.Errorf("%d loads at a time long after the slow ones, want %d", n, defaultParallelLoads)
+	}
+}
--- a/node/entry/leader.go
+++ b/node/entry/leader.go
@@ -23,7 +23,9 @@
 	ownKeysRead bool          // mangopass's own keys in the store have been read
 	leaseEnd    clock.Instant // end of the lease of this VM's keys in the store
 	begun       begunTerms
-	shards      [machine.Shards]shardState
+
+	parallelColdLoads int // as logged last
+	shards            [machine.Shards]shardState
 }
 
 // shardState is what this VM knows of one shard and its leader.
@@ -184,6 +186,10 @@
 	}
 	r.checkLeaders(now)
 	r.executePlan(r.leader.scheduler.Plan(r.members.planner == r.node, now), now)
+	if n := r.leader.scheduler.ParallelColdLoads(now); n != r.leader.parallelColdLoads {
+		r.log.Info("weight store", "parallel_loads", n, "before", r.leader.parallelColdLoads)
+		r.leader.parallelColdLoads = n
+	}
 }
 
 func (r *routing) executePlan(plan machine.Plan, now clock.Instant) {
