Load models from the weight store at runners that are not about to leave

Change: Fleet.Outgoing gives the latest start of a runner that leaves, or has left in the last ten seconds. A load from the weight store at a runner that started no later costs as much again as it takes, so that it goes to a runner that has just joined, if there is one. Where none has joined, nothing changes.

Measured: TestColdLoadsAvoidRunnersThatLeaveNext fails without the cost and passes.

--- a/fleet/machine/departures.go
+++ b/fleet/machine/departures.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/mangopass/mangopass/duty/clock"
+	"github.com/mangopass/mangopass/fleet/contract"
 )
 
 const (
@@ -14,11 +15,14 @@
 	// holdTime is how long the entry of a runner that has left is held back when an older copy of the store shows it. The
 	// store removes it sooner unless the runner lives: after three heartbeats of 1.2 s without one.
 	holdTime = 4 * time.Second
+	// replacementGap is the longest time between two runners that leave in one replacement of a service's runners.
+	replacementGap = 10 * time.Second
 )
 
 // departure is what is remembered of a process of a runner that is not in the fleet: it has left, or its entry has not
 // been read yet.
 type departure struct {
+	service     contract.ServiceName
 	boot        int64
 	version     SoftwareVersion // empty: unknown
 	at          clock.Instant
@@ -57,3 +61,20 @@
 	maps.DeleteFunc(f.departed, func(_ RunnerID, d departure) bool { return now.Sub(d.at) > departureMemory })
 	return out
 }
+
+// Outgoing returns, for each service, the latest start of a runner that leaves or has left within replacementGap. Where the
+// runners of a service are replaced one after the other, those that started no later are likely to leave next.
+func (f *Fleet) Outgoing(now clock.Instant) map[contract.ServiceName]int64 {
+	boots := make(map[contract.ServiceName]int64)
+	for _, r := range f.sorted {
+		if r.Draining || r.StatedLeaving || r.LeavesAt != 0 {
+			boots[r.Service] = max(boots[r.Service], r.Boot)
+		}
+	}
+	for _, d := range f.departed {
+		if d.service != "" && now.Sub(d.at) <= replacementGap {
+			boots[d.service] = max(boots[d.service], d.boot)
+		}
+	}
+	return boots
+}
--- a/fleet/machine/loads.go
+++ b/fleet/machine/loads.go
@@ -20,6 +20,7 @@
 // placeModels starts the loads that the demand justifies, those of the highest rank first.
 func (s *Scheduler) placeModels(now clock.Instant, plan *Plan) {
 	clear(s.reserved)
+	s.outgoing = s.fleet.Outgoing(now)
 	var loads []desiredLoad
 	for need, demand := range s.modelDemands {
 		if gain := demand.gain(now); gain > 0 {
@@ -182,6 +183,9 @@
 	if choice.inUse {
 		target.cost += drainTime.Seconds()
 	}
+	if loadTime == model.LoadCold && r.Boot <= s.outgoing[r.Service] {
+		target.cost += loadTime.Seconds() // it may leave before the model has served any request
+	}
 	return target, NoObstacle
 }
 
--- a/fleet/machine/placement.go
+++ b/fleet/machine/placement.go
@@ -98,8 +98,9 @@
 
 	// Rebuilt in each run of the placement.
 	modelDemands map[Need]*modelDemand
-	evictable    map[RunnerID][]candidate // the cheapest to unload first
-	reserved     map[RunnerID]int         // models that wait for a busy runner in this run
+	evictable    map[RunnerID][]candidate       // the cheapest to unload first
+	reserved     map[RunnerID]int               // models that wait for a busy runner in this run
+	outgoing     map[contract.ServiceName]int64 // as Fleet.Outgoing
 
 	idleUnload  *unloadWait // after the unload of a model that no request uses
 	drainUnload *unloadWait // after the unload of a model with running requests
--- a/fleet/machine/runner.go
+++ b/fleet/machine/runner.go
@@ -264,7 +264,9 @@
 	if r == nil {
 		return false
 	}
-	f.departed[id] = departure{boot: r.Boot, version: r.Version, at: now, leaving: r.StatedLeaving, pausedUntil: r.PausedUntil}
+	f.departed[id] = departure{
+		service: r.Service, boot: r.Boot, version: r.Version, at: now, leaving: r.StatedLeaving, pausedUntil: r.PausedUntil,
+	}
 	delete(f.runners, id)
 	f.sort()
 	return true
--- a/fleet/machine/weightstore_test.go
+++ b/fleet/machine/weightstore_test.go
@@ -100,3 +100,29 @@
 		t.Errorf("%d loads at a time long after the slow ones, want %d", n, defaultParallelLoads)
 	}
 }
+
+// TestColdLoadsAvoidRunnersThatLeaveNext guards against loads from the weight store that are lost when their runner is replaced
+// before the model has served any request, while a runner that has just joined stays.
+func TestColdLoadsAvoidRunnersThatLeaveNext(t *testing.T) {
+	for name, leave := range map[string]func(sim *simulation){
+		"draining": func(sim *simulation) { sim.fleet.Get("r1").Draining = true },
+		"gone":     func(sim *simulation) { sim.fleet.Remove("r1", sim.now) },
+	} {
+		sim := newSimulation(4, 8)
+		for id, e := range sim.engines {
+			clear(e.held)
+			if e.boot = 10; id == "r3" {
+				e.boot = 20
+			}
+			sim.announce(e)
+		}
+		sim.execute(sim.scheduler.Plan(true, sim.now), func() int { return 9 })
+		sim.advance(time.Second)
+		leave(sim)
+		sim.scheduler.Observe("n", []DemandReport{{Artifact: artifact(2, 0), Waiting: 1, Arrivals: 1}}, sim.now)
+		sim.execute(sim.scheduler.Plan(true, sim.now), func() int { return 9 })
+		if sim.engines["r3"].loading != modelName(2) {
+			t.Errorf("%s: the new runner loads %q, want m2", name, sim.engines["r3"].loading)
+		}
+	}
+}
