Let sound runners fall silent in the soak

No play of the soak had a runner that sends nothing for a while and then goes on, so that a stream which is given up too early could not be seen. Silences of up to 2 s, of engines and of instances of the plain service, are drawn from a source of their own, so that the other faults of a seed stay as they are. They are no trouble and excuse nothing. The check reports an answer that ended without being complete if a run of it at the silent runner was ended from outside, unless the deadline, an end of the entry VM, or a fault of the runners up to that one or of the links to them excuses it. What befalls the runner that got the stream next does not.

TestCheckCatchesBrokenPromises breaks the promise once; TestBrokenRunnersExcuseCutOffAnswers covers the excuses.

--- a/standin/soak/callers.go
+++ b/standin/soak/callers.go
@@ -91,6 +91,9 @@
 	}
 }
 
+// cutOff reports whether the connection ended without a complete answer.
+func (q Request) cutOff() bool { return q.Error != "" && (q.Status == 0 || !q.Whole) }
+
 // add adds a request to those that were sent.
 func (c *callers) add(q Request) {
 	c.mu.Lock()
--- a/standin/soak/check.go
+++ b/standin/soak/check.go
@@ -319,14 +319,15 @@
 		c.checkSaying(f)
 	case RunnerPauses:
 		c.checkPause(f)
+	case RunnerSilent:
+		c.checkSilence(f)
 	}
 }
 
 // checkStop checks that a planned stop of an entry VM cuts off no request that it had sent to a runner.
 func (c *checker) checkStop(f Fault) {
 	for _, q := range c.Requests {
-		cut := q.Error != "" && (q.Status == 0 || !q.Whole)
-		if q.Entry == f.Index && cut && q.Ended > f.Start && q.Sent < f.End && len(c.runs[q.ID]) > 0 &&
+		if q.Entry == f.Index && q.cutOff() && q.Ended > f.Start && q.Sent < f.End && len(c.runs[q.ID]) > 0 &&
 			!c.unplanned(q.Sent, q.Ended) && q.Ended-q.Sent < requestTimeout {
 			c.report("%s was cut off by the planned stop of entry %d: %s", q.ID, f.Index, q.Error)
 		}
--- a/standin/soak/check_test.go
+++ b/standin/soak/check_test.go
@@ -145,6 +145,15 @@
 				h.Requests = append(h.Requests, q)
 			}
 		},
+		"after runner 0 had been silent for 2s": func(h *History) {
+			cutOffInSilence(h)
+			// What befalls the runner that gets the stream next, and other entry VMs, is no excuse.
+			h.Faults = append(h.Faults, Fault{Kind: RunnerResets, Target: "runner", Index: 1, Start: 0, End: 2 * time.Second},
+				Fault{Kind: EntryKilled, Target: "entry", Index: 1, Start: 0, End: 2 * time.Second})
+			next := h.Records[0].Runs[0]
+			next.At, next.Cancelled = next.At.Add(1200*time.Millisecond), false
+			h.Records[1].Runs = append(h.Records[1].Runs, next)
+		},
 		"its limit allows": func(h *History) {
 			h.Faults = []Fault{{Kind: RunnerLimited, Target: "runner", Start: 0, End: limitTime}}
 			for range 18 {
@@ -179,6 +188,37 @@
 	}
 }
 
+// cutOffInSilence lets the first request be a stream that was broken off 1.3 s after its start, while its runner was silent.
+func cutOffInSilence(h *History) {
+	h.Requests[0].Route, h.Requests[0].Whole, h.Requests[0].Error = "chat", false, "unexpected EOF"
+	h.Requests[0].Body, h.Requests[0].Ended = "id: 1\ndata: token 1 of v1\n\n", 2300*time.Millisecond
+	h.Records[0].Runs[0].Cancelled = true
+	h.Faults = []Fault{{Kind: RunnerSilent, Target: "runner", Start: 900 * time.Millisecond, End: 2900 * time.Millisecond}}
+}
+
+// TestBrokenRunnersExcuseCutOffAnswers guards against reports of answers beside a silence that something else has broken off.
+func TestBrokenRunnersExcuseCutOffAnswers(t *testing.T) {
+	for name, excuse := range map[string]func(h *History){
+		"the runner ended it": func(h *History) { h.Records[0].Runs[0].Cancelled = false },
+		"the deadline":        func(h *History) { h.Requests[0].Ended = h.Requests[0].Sent + requestTimeout },
+		"the engine crashed": func(h *History) {
+			h.Records[0].CrashedAt = append(h.Records[0].CrashedAt, h.Start.Add(2*time.Second))
+		},
+		"the entry VM was killed": func(h *History) {
+			h.Faults = append(h.Faults, Fault{Kind: EntryKilled, Target: "entry", Start: 2 * time.Second, End: 3 * time.Second})
+		},
+		"the link was reset": func(h *History) {
+			h.Faults = append(h.Faults, Fault{Kind: LinkReset, Target: "link", Start: 2 * time.Second, End: 3 * time.Second})
+		},
+	} {
+		h := soundHistory()
+		cutOffInSilence(&h)
+		if excuse(&h); len(Check(h)) > 0 {
+			t.Errorf("%s: reported %v", name, Check(h))
+		}
+	}
+}
+
 // TestPeerFaultsExcuseLittle guards against faults between entry VMs that excuse promises which each VM keeps by itself.
 func TestPeerFaultsExcuseLittle(t *testing.T) {
 	cut := Fault{Kind: LinkCut, Target: "peer", Start: 12 * time.Second, End: 17 * time.Second}
@@ -220,6 +260,11 @@
 		t.Error("no release, and no end of all entry VMs")
 	}
 	all = append(all, versions...)
+	silences := PlanSilences(rand.New(rand.NewPCG(9, 5)), 20*time.Second, Sizes{Runners: 7}, all)
+	if len(silences) == 0 || slices.ContainsFunc(silences, func(f Fault) bool { return f.End-f.Start > maxSilence }) {
+		t.Errorf("silences of runners %v, want some of at most %v", silences, maxSilence)
+	}
+	all = append(all, silences...)
 	restores := []Fault{
 		{Kind: StoreRestored, Target: "store", Start: 30 * time.Second, End: 33 * time.Second},
 		{Kind: StoreRestored, Target: "store", Start: 50 * time.Second, End: 53 * time.Second},
--- a/standin/soak/plan.go
+++ b/standin/soak/plan.go
@@ -36,6 +36,7 @@
 	RunnerDrains  Kind = "runner_drains"
 	RunnerSays    Kind = "runner_says_it_leaves" // in its answers; its entry stays as it is
 	RunnerPauses  Kind = "runner_pauses"         // refuses all requests and states a time to come back
+	RunnerSilent  Kind = "runner_silent"         // sends nothing for up to maxSilence, and goes on as if nothing had been
 
 	// AllKilled ends all entry VMs at the same moment by SIGKILL; they are started again at once.
 	AllKilled Kind = "all_entries_killed"
@@ -48,10 +49,10 @@
 	EntryMisses Kind = "entry_misses_change"
 )
 
-// planned reports whether the fault is planned work, which must break no request.
+// planned reports whether the fault is planned work, which must break no request, or what a sound runner does.
 func (k Kind) planned() bool {
 	return k == EntryStopped || k == RunnerLeaves || k == RunnerDrains || k == RunnerLimited || k == StoreCompacts ||
-		k == RunnerSays || k == RunnerPauses
+		k == RunnerSays || k == RunnerPauses || k == RunnerSilent
 }
 
 // kindsByTarget lists the faults of each kind of target.
@@ -89,6 +90,8 @@
 	addedGap     = 6 * time.Second // the largest time between the starts of two added faults
 	laterGap     = 8 * time.Second // the same for faults that were added later
 	versionGap   = 6 * time.Second // the same for releases and ends of all entry VMs
+	silenceGap   = 3 * time.Second // the same for silences of runners
+	maxSilence   = 2 * time.Second // of a sound runner
 	restoreAge   = 6 * time.Second // the largest time by which the copy is older
 	// restoreOutage is the time for which the store is away before it is restored.
 	restoreOutage = 400 * time.Millisecond
@@ -173,6 +176,14 @@
 	})
 }
 
+// PlanSilences draws, in the same way, silences of sound runners.
+func PlanSilences(r *rand.Rand, duration time.Duration, sizes Sizes, others []Fault) []Fault {
+	return drawFaults(r, silenceGap, duration, others, func(at time.Duration) Fault {
+		silence := minFaultTime + time.Duration(r.Int64N(int64(maxSilence-minFaultTime)))
+		return Fault{Kind: RunnerSilent, Target: "runner", Index: r.IntN(sizes.Runners), Start: at, End: at + silence}
+	})
+}
+
 // drawFaults draws faults, the starts of two of them at most gap apart, and drops those that last too long or overlap with one
 // of the same target.
 func drawFaults(
--- a/standin/soak/run.go
+++ b/standin/soak/run.go
@@ -54,6 +54,8 @@
 	suspensionStream = 1<<32 + 20
 	// versionStream is the stream for PlanVersions, and for the versions that engines get.
 	versionStream = 1<<32 + 40
+	// silenceStream is the stream for PlanSilences.
+	silenceStream = 1<<32 + 50
 	// stopTimeout is how long an entry VM may take for a planned stop.
 	stopTimeout = 12 * time.Second
 )
@@ -73,6 +75,7 @@
 	faults = append(faults, PlanLater(rand.New(rand.NewPCG(s.Seed, laterStream)), s.Duration, sizes, faults)...)
 	faults = append(faults, PlanSuspensions(rand.New(rand.NewPCG(s.Seed, suspensionStream)), sizes, faults)...)
 	faults = append(faults, PlanVersions(rand.New(rand.NewPCG(s.Seed, versionStream)), s.Duration, sizes, faults)...)
+	faults = append(faults, PlanSilences(rand.New(rand.NewPCG(s.Seed, silenceStream)), s.Duration, sizes, faults)...)
 	x.callers = &callers{start: time.Now()}
 	for _, e := range x.deployment.Entries {
 		x.callers.entries = append(x.callers.entries, e.Callers)
@@ -241,6 +244,7 @@
 			RunnerResets: {Reset: 5, BreakAfter: 3}, RunnerGarbles: {Garble: 8}, RunnerSheds: {Shed: 20}, RunnerHangs: {Hang: 3},
 			RunnerLimited: {RateLimit: statedLimit}, RunnerLeaves: {Unlisted: true}, RunnerDrains: {Draining: true},
 			RunnerSays: {Leaving: true}, RunnerPauses: {PauseS: statedPause.Seconds()},
+			RunnerSilent: {SilenceMs: int((f.End - f.Start).Milliseconds())},
 		}
 		x.setRunnerFaults(x.deployment.Runners[f.Index], faults[f.Kind])
 		lasts()
