Don't take a caller that does not read for a silent runner

While a caller took nothing of its stream, or the stream's version was recorded, the runner counted as silent, although its next events wait to be read. Since a silence counts as a failure also if the stream is kept, slow callers could get a sound runner ejected, and their streams moved. The timer now rests from an event until the caller has got it. TestCallerThatDoesNotReadEndsAtItsDeadline, which has such a caller, failed before: a report of a silence 50 ms after the writing stopped.

--- a/node/entry/callers.go
+++ b/node/entry/callers.go
@@ -78,7 +78,7 @@
 	// writeRefusal writes a refusal in the format of the front end that received the request.
 	writeRefusal func(w http.ResponseWriter, id string, refusal *contract.Refusal)
 
-	progressAt  clock.Instant // when the last event for the caller came; before the first one, when the request arrived
+	progressAt  clock.Instant // when the caller got its last event; before the first one, when the request arrived
 	askedAt     clock.Instant // when the runner of the attempt was asked last which process it is; zero: it was not
 	headWritten bool
 	mayHaveRun  bool     // a runner may have begun to run the request
@@ -333,7 +333,7 @@
 		if err != nil {
 			return err
 		}
-		x.progressAt = silence.reset()
+		silence.pause() // the runner is not silent while its event is recorded or a slow caller takes it
 		if !end.started {
 			if err := x.checkProcess(ctx, a); err != nil {
 				return err
@@ -350,11 +350,10 @@
 			x.writeHead(answer)
 		}
 		end.streaming = true
-		silence.stop() // a caller that does not read holds the writing up, which says nothing of the runner
 		if err := x.forwardEvent(event); err != nil {
 			return err
 		}
-		silence.reset()
+		x.progressAt = silence.reset()
 	}
 }
 
--- a/node/entry/silence.go
+++ b/node/entry/silence.go
@@ -161,6 +161,7 @@
 	begun    clock.Instant
 	progress clock.Instant // of the caller's last event before the attempt, or of the request's arrival
 	heardAt  atomic.Int64  // of the attempt's last event, or of its start
+	paused   atomic.Bool
 }
 
 func (x *exchange) startSilenceTimer(a attempt) *silenceTimer {
@@ -175,7 +176,7 @@
 
 // report pushes the silence, if there is one, and sets the time of the next report. What a full ring does not take comes again.
 func (s *silenceTimer) report() {
-	if s.attempt.ctx.Err() != nil {
+	if s.attempt.ctx.Err() != nil || s.paused.Load() {
 		return
 	}
 	heard := clock.Instant(s.heardAt.Load())
@@ -196,10 +197,17 @@
 	s.timer.Reset(next)
 }
 
+// pause ends the silence until reset.
+func (s *silenceTimer) pause() {
+	s.paused.Store(true)
+	s.stop()
+}
+
 // reset begins a new silence, and returns the instant.
 func (s *silenceTimer) reset() clock.Instant {
 	now := clock.Now()
 	s.heardAt.Store(int64(now))
+	s.paused.Store(false)
 	if s.timer != nil {
 		s.timer.Reset(s.attempt.silenceTimeout)
 	}
--- a/node/entry/slowreader_test.go
+++ b/node/entry/slowreader_test.go
@@ -19,7 +19,7 @@
 )
 
 // TestCallerThatDoesNotReadEndsAtItsDeadline guards a runner's places, and the VM's memory, against callers that stop reading
-// their streams and keep the connections open.
+// their streams and keep the connections open, and the runner against being suspected of a silence meanwhile.
 func TestCallerThatDoesNotReadEndsAtItsDeadline(t *testing.T) {
 	const timeLeft = 300 * time.Millisecond
 	cancelled := make(chan struct{})
@@ -51,9 +51,12 @@
 			}
 			switch m := m.(type) {
 			case callArrived:
-				a := attempt{runner: "r", address: runner.Listener.Addr().String(), deadline: clock.Now().Add(timeLeft), priority: -1}
+				a := attempt{runner: "r", address: runner.Listener.Addr().String(), deadline: clock.Now().Add(timeLeft), priority: -1,
+					silenceTimeout: timeLeft / 6, soundSilence: timeLeft / 3}
 				a.ctx, a.cancel = context.WithCancelCause(m.call.ctx)
 				m.call.decisions.TryPush(decision{attempt: a})
+			case attemptSilent:
+				t.Errorf("report %+v of a runner that sends more than its caller reads", m)
 			case attemptEnded:
 				ended <- m.result
 				m.call.decisions.TryPush(decision{refusal: contract.Failed(contract.DeadlineExceeded, "no answer within the deadline")})
