Read what has come before a runner counts as silent after a suspension

The timers of silent streams run out while the process is suspended or starved, and all fire when it goes on, before the events that have come meanwhile are read. Each stream that had an attempt left could be given up, and its runner counted as failed, although it had gone on. A timer that is over 100 ms late now asks again after 100 ms. TestSuspendedProcessReadsFirst fails without the check: 'reported at the end of the suspension'.

--- a/node/entry/silence.go
+++ b/node/entry/silence.go
@@ -17,10 +17,11 @@
 	// longestSoundSilence is the longest time between two events of a resumable stream whose runner is sound: it may be silent
 	// for 2 s. The rest is for the pause before its next event, and for the way and the processes here.
 	longestSoundSilence = 2*time.Second + 250*time.Millisecond
-	// silenceRecheck is the time after which it is asked again whether a silent attempt can be given up, and silenceStep the
-	// shortest one between two such questions. A process that was suspended first reads what has come meanwhile.
+	// silenceRecheck is the time after which it is asked again whether a silent attempt can be given up.
 	silenceRecheck = 500 * time.Millisecond
-	silenceStep    = 100 * time.Millisecond
+	// readTime is the time that a process which was suspended or starved gets to read what has come meanwhile, before a runner
+	// counts as silent. Timers that are later than that show that it was.
+	readTime = 100 * time.Millisecond
 )
 
 // silenceTimes returns how long an attempt may go without an event or answer before its runner is suspected, and how long a
@@ -161,6 +162,7 @@
 	begun    clock.Instant
 	progress clock.Instant // of the caller's last event before the attempt, or of the request's arrival
 	heardAt  atomic.Int64  // of the attempt's last event, or of its start
+	dueAt    atomic.Int64  // of the next report
 	paused   atomic.Bool
 }
 
@@ -169,20 +171,30 @@
 	s.heardAt.Store(int64(s.begun))
 	if a.silenceTimeout > 0 {
 		s.timer = time.AfterFunc(never, s.report)
-		s.timer.Reset(a.silenceTimeout)
+		s.arm(s.begun, a.silenceTimeout)
 	}
 	return s
 }
 
+// arm lets the next report come after a time.
+func (s *silenceTimer) arm(now clock.Instant, d time.Duration) {
+	s.dueAt.Store(int64(now.Add(d)))
+	s.timer.Reset(d)
+}
+
 // report pushes the silence, if there is one, and sets the time of the next report. What a full ring does not take comes again.
 func (s *silenceTimer) report() {
 	if s.attempt.ctx.Err() != nil || s.paused.Load() {
 		return
 	}
-	heard := clock.Instant(s.heardAt.Load())
-	silent, started := clock.Now().Sub(heard), heard > s.begun
+	now, heard := clock.Now(), clock.Instant(s.heardAt.Load())
+	if now.Sub(clock.Instant(s.dueAt.Load())) > readTime {
+		s.arm(now, readTime)
+		return
+	}
+	silent, started := now.Sub(heard), heard > s.begun
 	if silent < s.attempt.silenceTimeout {
-		s.timer.Reset(s.attempt.silenceTimeout - silent)
+		s.arm(now, s.attempt.silenceTimeout-silent)
 		return
 	}
 	m := attemptSilent{call: s.call, attempt: s.attempt, since: heard, started: started, progress: s.progress}
@@ -192,9 +204,9 @@
 	_ = s.routing.TryPush(m)
 	next := silenceRecheck
 	if kept := s.attempt.keptFor(started); silent < kept {
-		next = max(silenceStep, kept-silent)
+		next = kept - silent
 	}
-	s.timer.Reset(next)
+	s.arm(now, next)
 }
 
 // pause ends the silence until reset.
@@ -209,7 +221,7 @@
 	s.heardAt.Store(int64(now))
 	s.paused.Store(false)
 	if s.timer != nil {
-		s.timer.Reset(s.attempt.silenceTimeout)
+		s.arm(now, s.attempt.silenceTimeout)
 	}
 	return now
 }
--- a/node/entry/silence_test.go
+++ b/node/entry/silence_test.go
@@ -211,3 +211,28 @@
 		t.Errorf("report %+v, want a silence since %v", m, event)
 	}
 }
+
+// TestSuspendedProcessReadsFirst guards runners that have sent events while the process was suspended against being taken for
+// silent by the timers that run out at its end.
+func TestSuspendedProcessReadsFirst(t *testing.T) {
+	intake := ring.New[message]("routing", 16)
+	c := newCall(t.Context(), &contract.Request{Arrived: clock.Now()})
+	x := &exchange{callHandler: &callHandler{routing: intake}, call: c, progressAt: c.request.Arrived}
+	for _, reads := range []bool{true, false} {
+		timer := x.startSilenceTimer(attempt{ctx: t.Context(), silenceTimeout: time.Minute, soundSilence: time.Hour})
+		suspended := clock.Now().Add(-2 * time.Minute)
+		timer.heardAt.Store(int64(suspended))
+		timer.dueAt.Store(int64(suspended.Add(time.Minute)))
+		if timer.report(); intake.Len() != 0 {
+			t.Fatal("reported at the end of the suspension")
+		}
+		if reads {
+			timer.reset()
+		}
+		time.Sleep(3 * readTime)
+		if reported := intake.Len() != 0; reported == reads {
+			t.Errorf("reported: %v, the process has read an event: %v", reported, reads)
+		}
+		timer.stop()
+	}
+}
