Test that the streams of a runner that hangs go on elsewhere

No process test had a stream whose runner sends nothing any more: one that is kept in any case would have passed all of them.

--- a/cmd/processtest/silence_test.go
+++ b/cmd/processtest/silence_test.go
@@ -47,6 +47,30 @@
 	}
 }
 
+// TestStreamOfHungRunnerGoesOn guards against streams that are left at a runner which hangs, although another one can go on with
+// them before their callers abandon them.
+func TestStreamOfHungRunnerGoesOn(t *testing.T) {
+	distant := engineSpec("engine-1", "tulip")
+	distant.Zone = "dc-b"
+	d := startWith(t, 1, engineSpec("engine-0", "tulip"), distant)
+	s := &streams{t: t, d: d}
+	begun := time.Now()
+	for _, after := range []int{4, 0} {
+		s.fault(runner.Faults{SilenceMs: 20_000, SilentStreams: 1, SilentAfter: after})
+		s.send(fmt.Sprintf("hung-%d", after))
+		time.Sleep(40 * time.Millisecond) // until it runs, with this fault
+	}
+	s.wait()
+	if took := time.Since(begun); took > 3200*time.Millisecond {
+		t.Errorf("the streams took %v, callers abandon them after 3.2 s without an event", took)
+	}
+	for _, id := range []string{"hung-4", "hung-0"} {
+		if runs := runsOf(t, d, id); len(runs) != 2 {
+			t.Errorf("%s: %d runs, want one that hung and one that went on", id, len(runs))
+		}
+	}
+}
+
 // streams are the streams of callers that are in progress.
 type streams struct {
 	t   *testing.T
