Play VMs that stand still and runners that come back in the model of versions

The model held that an engine which has started again is empty, and that a VM acts the moment it decides. VMs now stand still after they have read the clock, between a decision and the request, and between the first event and its check, while the others go on; runners that start again get their model as early as their leader allows.

TestVersionThatJoinsWhileAVMStandsStill plays the report that started this on the real programs: a VM stands still while a version joins and streams begin at it through the other VM, wakes up and takes them up.

--- a/cmd/processtest/versions_test.go
+++ b/cmd/processtest/versions_test.go
@@ -310,3 +310,33 @@
 		}
 	}
 }
+
+// TestVersionThatJoinsWhileAVMStandsStill guards against a VM that stood still while a version joined, and lets the streams of that
+// version which other VMs have begun go on at the version that it knows.
+func TestVersionThatJoinsWhileAVMStandsStill(t *testing.T) {
+	d := startVersions(t, 2, "v1", "v1")
+	d.Entries[0].Signal(syscall.SIGSTOP)
+	if err := d.SetFaults(t.Context(), d.Runners[1].Address, runner.Faults{Release: "v2"}); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(2 * versionSettling) // the other VM writes the record after the planner has not for a while
+	var begun []interruptedStream
+	for i := range 12 {
+		begun = append(begun, beginStream(t, d.Entries[1], fmt.Sprint("begun-", i), 3, nil))
+	}
+	d.Entries[0].Signal(syscall.SIGCONT)
+	ofV2 := 0
+	for i, s := range begun {
+		again := fmt.Sprint("again-", i)
+		got := s.takeUp(t, d.Entries[0], again)
+		if versions := versionsOf(t, d, s.id, again); len(versions) != 1 {
+			t.Errorf("%s: got status %d, runs at %v", s.id, got.status, versions)
+		}
+		if versionsOf(t, d, s.id)["v2"] {
+			ofV2++
+		}
+	}
+	if ofV2 == 0 {
+		t.Error("no stream began at v2")
+	}
+}
--- a/node/entry/streams_test.go
+++ b/node/entry/streams_test.go
@@ -34,8 +34,12 @@
 	streams  []begunStream
 	requests int
 
-	calm        bool // the store takes each write and answers each read
-	recordLater bool // the design that passes the first event on before the stream is recorded
+	outOfStep   *rand.Rand                         // draws when a VM stands still; nil: none does, and no runner serves anew
+	servesFrom  map[machine.RunnerID]clock.Instant // when a runner that has started again has got its model
+	unasked     bool                               // the design in which no runner is asked which process it is
+	loadsAtOnce bool                               // the design in which a runner that starts again gets its model at once
+	calm        bool                               // the store takes each write and answers each read
+	recordLater bool                               // the design that passes the first event on before the stream is recorded
 	joined      []string
 	goneOn      int
 }
@@ -51,6 +55,7 @@
 type versionVM struct {
 	*harness
 	cut      bool // from the store
+	still    bool // it stands still
 	nextRead clock.Instant
 	unsent   []lateWrite // records of the design that writes them later
 }
@@ -58,6 +63,7 @@
 func newVersionWorld(seed uint64, vms, runners int) *versionWorld {
 	w := &versionWorld{
 		Rand: rand.New(rand.NewPCG(seed, 0)), now: t0, runners: make(map[machine.RunnerID]machine.Announcement),
+		servesFrom: make(map[machine.RunnerID]clock.Instant),
 		store: simulatedStore{
 			era: link.FirstEra, revision: 1, keys: make(map[string]leasedKey), leases: make(map[int64]clock.Instant),
 		},
@@ -83,6 +89,12 @@
 
 // start starts a process of a runner.
 func (w *versionWorld) start(id machine.RunnerID, boot int64, v machine.SoftwareVersion) {
+	if boot > 1 {
+		w.servesFrom[id] = w.now.Add(machine.ViewAge + shortestLoad)
+		if w.loadsAtOnce {
+			w.servesFrom[id] = w.now.Add(shortestLoad)
+		}
+	}
 	w.runners[id] = machine.Announcement{
 		ID: id, Service: "e", Address: "1.1.1.1:1", Zone: "z", Slots: 8, Boot: boot, Version: v, HasEngine: true,
 		Contents: machine.Contents{Models: []machine.ReportedModel{{Model: "m"}}},
@@ -98,6 +110,9 @@
 	}
 	w.store.advance(w.now)
 	for _, v := range w.vms {
+		if v.still {
+			continue
+		}
 		v.now = w.now
 		if !v.cut && !w.now.Before(v.nextRead) {
 			v.nextRead = w.now.Add(time.Duration(100+w.IntN(1000)) * time.Millisecond)
@@ -185,7 +200,9 @@
 		Arrived: w.now, Model: "m", PromptTokens: 10, MaxTokens: 5, Counted: true, Digest: uint64(w.requests),
 		LastEvent: lastEvent, Resumes: resumes,
 	})
+	w.standStill(v) // after it has read the clock
 	v.apply(callArrived{call: c})
+	v.now = w.now
 	if read, asked := v.harness.streams.reads.ring.TryPop(); asked {
 		found := originFound{call: c, era: w.store.era, outcome: platform.NotFound}
 		key, ok := w.store.keys[keyOfStream(read.id)]
@@ -200,19 +217,12 @@
 	return c, v.decision(c)
 }
 
-// runs returns the version of the process that gets an attempt, and false if there is none or it has started again: an engine
-// that has is empty.
-func (w *versionWorld) runs(a attempt) (machine.SoftwareVersion, bool) {
-	r, ok := w.runners[a.runner]
-	return r.Version, ok && r.Boot == a.boot
-}
-
 // goOn lets a decision go on with a stream and checks the version.
-func (w *versionWorld) goOn(d *decision, s begunStream, how string) bool {
+func (w *versionWorld) goOn(v *versionVM, d *decision, s begunStream, how string) bool {
 	if d == nil || d.refusal != nil {
 		return false
 	}
-	if version, ok := w.runs(d.attempt); !ok {
+	if version, ok := w.runs(v, d.attempt); !ok {
 		return false
 	} else if version != s.version {
 		w.joined = append(w.joined, fmt.Sprintf("%s of %s, begun %v before by %s, goes on at %s",
@@ -229,7 +239,7 @@
 		return begunStream{}, false
 	}
 	a := d.attempt
-	version, ok := w.runs(a)
+	version, ok := w.runs(v, a)
 	if !ok {
 		v.endAttempt(c, a, resultNoReplica)
 		return begunStream{}, false
@@ -247,7 +257,7 @@
 	}
 	v.apply(end)
 	if !end.final {
-		w.goOn(v.decision(c), s, "the answer")
+		w.goOn(v, v.decision(c), s, "the answer")
 	}
 	return s, true
 }
@@ -255,7 +265,7 @@
 // takeUp takes a stream up at a VM.
 func (w *versionWorld) takeUp(v *versionVM, s begunStream) bool {
 	_, d := w.send(v, "3", s.id)
-	return w.goOn(d, s, "the take-up at "+v.node)
+	return w.goOn(v, d, s, "the take-up at "+v.node)
 }
 
 // disturb changes the deployment: versions, VMs or the store.
@@ -317,10 +327,14 @@
 }
 
 // TestStreamsGoOnAtTheirVersion guards against streams that hold events of two software versions, while versions come and go,
-// VMs end, also all at once, or are cut from the store, and the store loses or delays writes or returns from older copies.
+// VMs end, also all at once, are cut from the store or stand still, and the store loses or delays writes or returns from older
+// copies.
 func TestStreamsGoOnAtTheirVersion(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newVersionWorld(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 4).Draw(t, "VMs"), 6)
+		if rapid.Bool().Draw(t, "out of step") {
+			w.outOfStep = rand.New(rand.NewPCG(w.Uint64(), 0))
+		}
 		w.play(rapid.IntRange(50, 600).Draw(t, "steps"))
 		if len(w.joined) > 0 {
 			t.Fatalf("%d joined streams, the first: %s", len(w.joined), w.joined[0])
