Refuse take-ups in time while the store gives no answers

A call that takes a stream up may need the stream's record from the store. Four duties read the records, each up to 0.9 s while the store is silent, and up to 256 calls wait for them: the last ones for nearly a minute. Nothing ended that wait, so their callers gave up without an answer or a refusal, and the reads went on for callers that had gone.

Such a call is now refused after two seconds, or when its time for waiting is over, with origin_unknown and a time to come again, as one whose read fails. A read whose caller has gone is left out, and an answer that comes later is dropped.

TestTakeUpIsRefusedIfStoreIsSilent fails without the new check of the waits (no decision, and an attempt after the end) and passes with it.

--- a/node/entry/admission.go
+++ b/node/entry/admission.go
@@ -341,6 +341,7 @@
 func (m callCancelled) apply(r *routing, now clock.Instant) {
 	c := m.call
 	r.stopWaiting(c)
+	c.originUntil = 0
 	delete(r.inFlight, c)
 	if d, pending := c.decisions.TryPop(); pending && d.refusal == nil {
 		c.sends--
--- a/node/entry/changes_test.go
+++ b/node/entry/changes_test.go
@@ -261,3 +261,27 @@
 		}
 	}
 }
+
+// TestTakeUpIsRefusedIfStoreIsSilent guards callers that take streams up while the store gives no answers against getting no
+// answer either: the reads of their origins wait for each other.
+func TestTakeUpIsRefusedIfStoreIsSilent(t *testing.T) {
+	h := newHarness()
+	h.setUp()
+	h.announceEngines(2)
+	c := callStates["waits for its origin"](h)
+	read, _ := h.popOriginRead()
+	h.now = h.now.Add(originWait - 20*time.Millisecond)
+	h.onTick(h.now)
+	if d := h.decision(c.call); d != nil {
+		t.Fatalf("decision %+v before %v", d, originWait)
+	}
+	h.now = h.now.Add(20 * time.Millisecond)
+	h.onTick(h.now)
+	wantRefusal(t, h.decision(c.call), contract.OriginUnknown, false)
+	h.apply(originFound{call: read.call, outcome: platform.Applied, entry: platform.Entry{
+		Value: marshal(streamEntry{Service: "e"}),
+	}})
+	if d := h.decision(c.call); d != nil || len(h.inFlight) > 0 {
+		t.Errorf("decision %+v after the refusal, want none", d)
+	}
+}
--- a/node/entry/message.go
+++ b/node/entry/message.go
@@ -24,25 +24,26 @@
 	parts     []uint64 // of the prompt, as far as other requests may share them
 	decisions *ring.Ring[decision]
 
-	admitted  contract.Admission
-	service   contract.ServiceName
-	artifact  machine.Artifact
-	cost      float64 // taken from the organisation's quota; zero after a refund
-	deadline  clock.Instant
-	waitUntil clock.Instant // end of the wait for a replica
-	waiting   bool
-	heldUntil clock.Instant // while it waits: when the first runner with the model takes requests again; zero: none has it
-	sends     int           // attempts sent to runners
-	runs      int           // of those, attempts that the runner may have executed
-	exclude   []machine.RunnerID
-	cancel    context.CancelCauseFunc // ends the attempt in progress; nil: there is none
-	sentTo    attempt                 // the last attempt
-	streaming bool                    // part of the answer has been sent to the caller
-	passedOn  passedOn                // by the attempts that have ended
-	givenUp   bool                    // an attempt was given up because its runner was silent
-	cut       bool                    // that the answer is cut off has been recorded
-	pinned    bool                    // its stream has begun and goes on only at runners of version
-	version   machine.SoftwareVersion // that began the stream
+	admitted    contract.Admission
+	service     contract.ServiceName
+	artifact    machine.Artifact
+	cost        float64 // taken from the organisation's quota; zero after a refund
+	deadline    clock.Instant
+	waitUntil   clock.Instant // end of the wait for a replica
+	waiting     bool
+	originUntil clock.Instant // while it waits for its origin: the end of that; zero: it does not
+	heldUntil   clock.Instant // while it waits: when the first runner with the model takes requests again; zero: none has it
+	sends       int           // attempts sent to runners
+	runs        int           // of those, attempts that the runner may have executed
+	exclude     []machine.RunnerID
+	cancel      context.CancelCauseFunc // ends the attempt in progress; nil: there is none
+	streaming   bool                    // part of the answer has been sent to the caller
+	passedOn    passedOn                // by the attempts that have ended
+	sentTo      attempt                 // the last attempt
+	givenUp     bool                    // an attempt was given up because its runner was silent
+	cut         bool                    // that the answer is cut off has been recorded
+	pinned      bool                    // its stream has begun and goes on only at runners of version
+	version     machine.SoftwareVersion // that began the stream
 
 	retryTaken bool       // the retry after the attempt in progress has been taken from the retry budget
 	reserved   *attempt   // counts as sent to a runner until the attempt in progress has ended; nil: none
--- a/node/entry/routing.go
+++ b/node/entry/routing.go
@@ -146,6 +146,7 @@
 	r.reviewParts(now)
 	r.recordSettledEra(now)
 	r.recordVersions(now)
+	r.endOriginWaits(now)
 	r.dispatchWaiting(now)
 	r.checkTerms(now)
 	r.recordBegunTerms(now)
--- a/node/entry/streamrecords.go
+++ b/node/entry/streamrecords.go
@@ -182,6 +182,9 @@
 		if err != nil {
 			return
 		}
+		if read.call.ctx.Err() != nil {
+			continue // its caller has gone, while others wait
+		}
 		found := originFound{call: read.call}
 		found.entry, found.era, found.outcome, found.cause = o.store.Get(ctx, keyOfStream(read.id))
 		if o.routing.Push(ctx, found) != nil {
--- a/node/entry/streams.go
+++ b/node/entry/streams.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"strconv"
 	"time"
 
@@ -21,6 +22,9 @@
 	// takeUpWaitShare is the share of its time that a call which takes a stream up waits for a runner of its version. It is
 	// larger than that of others, which may be served elsewhere when they come again.
 	takeUpWaitShare = 0.85
+	// originWait limits the wait of a call for the record of its origin. The reads wait for each other, and each takes up to
+	// platform.StoreCallTimeout while the store is silent.
+	originWait = 2 * time.Second
 	// originRetryAfter is when a caller may take a stream up again whose origin is not known now.
 	originRetryAfter = time.Second
 	// recordPause is the time after a failed record of a stream in which no stream is begun that needs one.
@@ -52,6 +56,7 @@
 	records     bool          // streams can be recorded: the duty for it runs
 	pausedUntil clock.Instant // no stream is begun that needs a record
 	reads       originReads
+	awaiting    []*call // those that wait for their origin, in the order of their arrival; some may have ended
 }
 
 // refuseOldRecord refuses a call that would begin a resumable stream by a record of the versions that is too old for it. It reports
@@ -102,7 +107,22 @@
 	}
 	if !r.streams.reads.tryPush(originRead{call: c, id: id}) {
 		r.refuseUnknownOrigin(c, "too many streams are taken up", now)
+		return
 	}
+	c.originUntil = min(now.Add(originWait), c.waitUntil)
+	r.streams.awaiting = append(r.streams.awaiting, c)
+}
+
+// endOriginWaits refuses the calls whose origin has not been found in time.
+func (r *routing) endOriginWaits(now clock.Instant) {
+	r.streams.awaiting = slices.DeleteFunc(r.streams.awaiting, func(c *call) bool {
+		due := c.originUntil != 0 && !now.Before(c.originUntil)
+		if due {
+			c.originUntil = 0
+			r.refuseUnknownOrigin(c, "the store has not told what began the stream", now)
+		}
+		return c.originUntil == 0
+	})
 }
 
 func (r *routing) refuseUnknownOrigin(c *call, detail string, now clock.Instant) {
@@ -121,9 +141,10 @@
 // apply goes on with the call if the origin is known now.
 func (m originFound) apply(r *routing, now clock.Instant) {
 	c := m.call
-	if c.ctx.Err() != nil {
-		return // it has been cancelled meanwhile
+	if c.originUntil == 0 {
+		return // it has been refused or cancelled meanwhile
 	}
+	c.originUntil = 0
 	record, known, kept := r.versionsOf(c.service)
 	kept = kept && m.era == r.era.newest
 	var e streamEntry
