Close callers' connections after answers in a planned stop

Once a planned stop has begun, each answer is to say that its connection closes, so that the caller's next request goes to another VM. Refusals did; the head of a runner's answer, however, took away all headers that belong to one connection, that of this VM too, and requests that were in progress when the stop began never said so. Callers kept their connections, and sent requests on them while the VM closed them 2.5 s later, which nobody answers or refuses.

--- a/node/entry/callers.go
+++ b/node/entry/callers.go
@@ -55,10 +55,15 @@
 // caller's connection is closed after the answer.
 func (h *callHandler) begin(w http.ResponseWriter) (end func()) {
 	h.openRequests.Add(1)
+	h.announceClose(w)
+	return func() { h.openRequests.Add(-1) }
+}
+
+// announceClose states in an answer's head that its connection closes, once the planned stop has begun.
+func (h *callHandler) announceClose(w http.ResponseWriter) {
 	if h.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	return func() { h.openRequests.Add(-1) }
 }
 
 func newCall(ctx context.Context, request *contract.Request) *call {
@@ -174,6 +179,7 @@
 	if x.headWritten {
 		panic(http.ErrAbortHandler) // only an aborted connection shows the caller that the answer is incomplete
 	}
+	x.announceClose(x.w)
 	x.writeRefusal(x.w, x.payload.ID, refusal)
 }
 
@@ -301,6 +307,7 @@
 		return errors.Newf("the runner failed with status %d", answer.Status)
 	}
 	end.final = true
+	x.announceClose(x.w)
 	answer.WriteHead(x.w, len(body))
 	if _, err = x.w.Write(body); err == nil {
 		err = http.NewResponseController(x.w).Flush()
@@ -360,6 +367,7 @@
 func (x *exchange) writeHead(answer *platform.Answer) {
 	x.headWritten = true
 	x.flusher = http.NewResponseController(x.w)
+	x.announceClose(x.w)
 	answer.WriteHead(x.w, -1)
 }
 
--- a/node/entry/frontend_test.go
+++ b/node/entry/frontend_test.go
@@ -31,6 +31,7 @@
 	handler *callHandler
 	front   *httptest.Server
 	cuts    *cutLines
+	drains  bool // for runners that let the planned stop begin
 }
 
 // newDeployment starts a VM with the given front end.
@@ -146,9 +147,9 @@
 // callerView is what a caller got: a status of zero says that its connection ended before the head of an answer.
 type callerView struct {
 	status   int
-	header   http.Header
 	body     string
 	complete bool
+	closes   bool // the connection, by its head
 }
 
 func (v callerView) String() string {
@@ -177,7 +178,7 @@
 		return callerView{}
 	}
 	body, err := io.ReadAll(answer.Body)
-	return callerView{status: answer.StatusCode, header: answer.Header, body: string(body), complete: err == nil}
+	return callerView{status: answer.StatusCode, body: string(body), complete: err == nil, closes: answer.Close}
 }
 
 // ask sends a request and reads its answer.
