Let streams that break off in a planned stop wait for another runner

From 2.5 s on, no call of a stopping VM waits for a replica, since another VM takes it. That held for streams as well whose caller had a part already: if the runner broke off and no other one could go on that very moment, the answer was cut off, four seconds before the end of the stop on the usual grace of 8 s.

Calls whose answer has begun now wait as they do at other times. One that still waits when its connection is closed counts as cut off by the planned stop.

TestBrokenStreamWaitsInPlannedStop failed before (no_replica) and passes now, with the other tests of node/entry.

--- a/node/entry/admission.go
+++ b/node/entry/admission.go
@@ -355,5 +355,9 @@
 		"waited_ms", now.Sub(c.request.Arrived).Milliseconds())
 	r.metrics.results.WithLabelValues(resultCallerGone.String()).Inc()
 	r.metrics.request.WithLabelValues(resultCallerGone.String()).Observe(now.Sub(c.request.Arrived).Seconds())
+	if m.stopped {
+		r.noteCut(c, cutStopped, now)
+		return
+	}
 	r.noteCut(c, cutCallerGone, now)
 }
--- a/node/entry/callers.go
+++ b/node/entry/callers.go
@@ -170,7 +170,7 @@
 // reportCancel tells the routing duty that the caller has disconnected, and aborts the connection, since nothing or only a part
 // of an answer has been written. If the duty has decided on an attempt by then, it takes the decision back.
 func (x *exchange) reportCancel() {
-	_ = x.routing.Push(context.WithoutCancel(x.call.ctx), callCancelled{call: x.call})
+	_ = x.routing.Push(context.WithoutCancel(x.call.ctx), callCancelled{call: x.call, stopped: x.cutoff.Err() != nil})
 	panic(http.ErrAbortHandler)
 }
 
--- a/node/entry/changes_test.go
+++ b/node/entry/changes_test.go
@@ -285,3 +285,21 @@
 		t.Errorf("decision %+v after the refusal, want none", d)
 	}
 }
+
+// TestBrokenStreamWaitsInPlannedStop guards streams that break off in the later part of a planned stop, in which no new call waits
+// for a replica, against being cut off at once: there is time until the end of the stop.
+func TestBrokenStreamWaitsInPlannedStop(t *testing.T) {
+	h := newHarness()
+	h.setUp()
+	h.announceEngines(1)
+	c, d := h.admitChat()
+	h.start(c, d.attempt)
+	h.announceEngine("e5")
+	h.apply(stopRequested{})
+	h.now = h.now.Add(drainTime)
+	h.apply(storeChanged{sent: h.now})
+	h.breakStream(c, d.attempt)
+	if refusal := h.finish(liveCall{call: c}); refusal != nil {
+		t.Errorf("refused with %s (%s), want that the stream goes on", refusal.Code, refusal.Detail)
+	}
+}
--- a/node/entry/cut_test.go
+++ b/node/entry/cut_test.go
@@ -176,7 +176,9 @@
 	cancel()
 	chat.ctx = ctx
 	h.apply(callCancelled{call: chat})
-	if counts := h.cutCounts(); len(counts) != 1 || counts[cutDeadline] != 1 {
-		t.Errorf("counted %v, want one %s", counts, cutDeadline)
+	other, _ := h.admitChat()
+	h.apply(callCancelled{call: other, stopped: true})
+	if counts := h.cutCounts(); len(counts) != 2 || counts[cutDeadline] != 1 || counts[cutStopped] != 1 {
+		t.Errorf("counted %v, want one %s, and one %s for the call that the stop has ended", counts, cutDeadline, cutStopped)
 	}
 }
--- a/node/entry/message.go
+++ b/node/entry/message.go
@@ -109,8 +109,12 @@
 // callArrived is a new call.
 type callArrived struct{ call *call }
 
-// callCancelled is a call whose caller disconnected while a decision was pending.
-type callCancelled struct{ call *call }
+// callCancelled is a call whose caller disconnected while a decision was pending, or whose connection was closed at the end of a
+// planned stop.
+type callCancelled struct {
+	call    *call
+	stopped bool
+}
 
 // attemptStarted is the first event of a stream.
 type attemptStarted struct {
--- a/node/entry/waiting.go
+++ b/node/entry/waiting.go
@@ -5,9 +5,10 @@
 	"github.com/mangopass/mangopass/fleet/link"
 )
 
-// waitedLongEnough reports whether a call may wait no longer.
+// waitedLongEnough reports whether a call may wait no longer. In the later part of a planned stop only those wait whose answers
+// have begun.
 func (r *routing) waitedLongEnough(c *call, now clock.Instant) bool {
-	return !now.Before(c.waitUntil) || r.stopsSoon(now)
+	return !now.Before(c.waitUntil) || r.stopsSoon(now) && !c.streaming
 }
 
 // wait queues a call until a replica is ready or a runner at its rate limit takes one more request, or until it may wait
