Let streams that callers take up wait for their quota

When all VMs have ended, the callers of their streams come together with those of new requests, and each quota starts with a tenth of its burst. A take-up that the quota did not admit was refused with 429.

A take-up over the limit now waits at the VM for up to 1.5 s, in order of arrival; until it is admitted, new requests of its organisation leave the half of the rate to it. If the quota would admit it later than that, it is refused at once, as before. Its origin comes first where it is known without a call: a stream that is lost is refused as such, and not for its quota. The line 'refused' says whether the call takes a stream up, and 'waiting for quota' is new; mangopass explain shows it.

--- a/cmd/processtest/versions_test.go
+++ b/cmd/processtest/versions_test.go
@@ -230,13 +230,16 @@
 		t.Fatal(err)
 	}
 	time.Sleep(2 * time.Second) // until its entry is removed
-	refused := 0
+	refused, atOnce := 0, 0
 	for i, s := range begun {
-		again := fmt.Sprint("again-", i)
+		again, sent := fmt.Sprint("again-", i), time.Now()
 		got := s.takeUp(t, d.Entries[(i/2)%2], again)
+		took := time.Since(sent)
 		if versionsOf(t, d, s.id)["v1"] {
 			refused++
-			wantNotRun(t, d, got, again)
+			if wantNotRun(t, d, got, again); took < 50*time.Millisecond {
+				atOnce++
+			}
 		} else if !s.wantWhole(t, got, 40) {
 			t.Errorf("%s: got %+v, want the rest of the stream from v2", s.id, got)
 		}
@@ -244,6 +247,9 @@
 	if refused == 0 {
 		t.Error("no stream began at v1")
 	}
+	if atOnce < (refused+1)/2 {
+		t.Errorf("%d of %d take-ups were refused within 50 ms, want at least half: their callers have little time left", atOnce, refused)
+	}
 }
 
 // TestReleasedRunnerDoesNotGoOnWithItsOldStreams guards against a runner that goes on with a stream under its ID after it has
--- a/node/entry/admission.go
+++ b/node/entry/admission.go
@@ -92,6 +92,9 @@
 	if part, blocked := r.promptParts.Blocked(c.parts, now); blocked {
 		return contract.Refuse(contract.CrashSuspect, 0, blockedPartDetail, part)
 	}
+	if c.takesUp() {
+		return nil // charged when its origin is known
+	}
 	return r.chargeQuota(c, now)
 }
 
@@ -104,19 +107,18 @@
 		r.freshness.Age(now).Round(time.Millisecond))
 }
 
-// chargeQuota takes a call's cost from its organisation's quota, or refuses the call if too little is left.
+// chargeQuota takes a call's cost from its organisation's quota, or refuses the call if too little is left above what is kept
+// for calls that go on with a stream.
 func (r *routing) chargeQuota(c *call, now clock.Instant) *contract.Refusal {
-	o := c.admitted.Organisation
-	if o == nil || o.Limit.PerSecond <= 0 {
+	cost, limited := c.limitedCost()
+	if !limited {
 		return nil
 	}
-	cost := o.Limit.Cost(c.request.PromptTokens, c.request.MaxTokens, c.request.Counted)
-	quota := r.quota(o, now)
-	if !quota.Take(cost, now) {
-		return contract.Refuse(contract.RateLimited, quota.Wait(cost, now), "%s is over its limit", o.Name)
+	kept := r.quotaQueue.kept(c.admitted.Organisation, now)
+	if r.takeQuota(c, cost, kept, now) {
+		return nil
 	}
-	c.cost = cost
-	return nil
+	return r.rateLimited(c, r.quota(c.admitted.Organisation, now).Wait(cost+kept, now))
 }
 
 // quota returns an organisation's quota and creates it at first use.
@@ -329,6 +331,7 @@
 		version = r.manifest.Version
 	}
 	r.log.Info("refused", "request", c.request.ID, "code", refusal.Code, "may_have_run", refusal.MayHaveRun,
+		"takes_up", c.request.LastEvent != "",
 		"detail", refusal.Detail, "model", c.artifact.Model, "waited_ms", now.Sub(c.request.Arrived).Milliseconds(),
 		"manifest", version, "manifest_age_ms", r.freshness.Age(now).Milliseconds())
 	r.metrics.refused.WithLabelValues(string(refusal.Code)).Inc()
--- a/node/entry/routing.go
+++ b/node/entry/routing.go
@@ -63,6 +63,7 @@
 	fleet            *machine.Fleet
 	table            *link.Table
 	quotas           map[contract.OrganisationName]*contract.Quota
+	quotaQueue       quotaQueue
 	retryBudgets     map[contract.ServiceName]*link.RetryBudget
 	crashes          *link.CrashTracker
 	promptParts      *link.PartTracker
@@ -90,6 +91,7 @@
 		freshness: link.NewFreshness(freshnessBound(s.Rules)), changes: link.NewChangeLog(), fleet: machine.NewFleet(),
 		table:        link.NewTable(s.Zones, random),
 		quotas:       make(map[contract.OrganisationName]*contract.Quota),
+		quotaQueue:   newQuotaQueue(),
 		retryBudgets: make(map[contract.ServiceName]*link.RetryBudget),
 		crashes:      link.NewCrashTracker(), promptParts: link.NewPartTracker(), inFlight: make(map[*call]bool),
 		storedParts: make(map[uint64]storedPart), versions: newSoftwareVersions(),
@@ -147,6 +149,7 @@
 	r.recordSettledEra(now)
 	r.recordVersions(now)
 	r.endOriginWaits(now)
+	r.admitQueued(now)
 	r.dispatchWaiting(now)
 	r.checkTerms(now)
 	r.recordBegunTerms(now)
--- a/node/entry/streams.go
+++ b/node/entry/streams.go
@@ -105,6 +105,10 @@
 		r.refuse(c, contract.Refuse(contract.StreamLost, 0, "the request does not name the one that began the stream"), now)
 		return
 	}
+	if refusal := r.checkQuota(c, now); refusal != nil {
+		r.refuse(c, refusal, now)
+		return
+	}
 	if !r.streams.reads.tryPush(originRead{call: c, id: id}) {
 		r.refuseUnknownOrigin(c, "too many streams are taken up", now)
 		return
@@ -178,7 +182,7 @@
 	if r.refuseLostStream(c, now) {
 		return
 	}
-	r.enter(c, now)
+	r.chargeContinuation(c, now)
 }
 
 // refuseLostStream refuses a call that goes on with a stream whose software version no usable runner has.
--- a/node/explain/explain.go
+++ b/node/explain/explain.go
@@ -45,6 +45,7 @@
 	Attempt     int       `json:"attempt,omitempty"`
 	WaitedMs    int64     `json:"waited_ms,omitempty"`
 	PatienceMs  int64     `json:"patience_ms,omitempty"`
+	ExpectedMs  int64     `json:"expected_ms,omitempty"`
 	QueuedMs    int64     `json:"queued_ms,omitempty"`
 	TookMs      int64     `json:"took_ms,omitempty"`
 	Manifest    int64     `json:"manifest,omitempty"`
@@ -163,6 +164,8 @@
 	case "waiting":
 		return fmt.Sprintf("no runner holds %s; waits up to %d ms for the planner %s",
 			artifact(l), l.PatienceMs, l.Planner)
+	case "waiting for quota":
+		return fmt.Sprintf("waits for the quota of its organisation to go on with the stream; %d ms are expected", l.ExpectedMs)
 	case "refused":
 		return fmt.Sprintf("refused with %s after %d ms: %s (manifest %d, %d ms old)",
 			l.Code, l.WaitedMs, l.Detail, l.Manifest, l.AgeMs)
--- a/node/explain/explain_test.go
+++ b/node/explain/explain_test.go
@@ -20,6 +20,7 @@
 {"time":"2026-01-01T00:00:00.36Z","msg":"runner leaves","node":"n2","runner":"r"}
 {"time":"2026-01-01T00:00:00.4Z","msg":"ended","node":"n1","request":"p","runner":"r","result":"served","took_ms":100,"final":true}
 {"time":"2026-01-01T00:00:02.0Z","msg":"stream taken up","node":"n1","request":"up","resumes":"p","version":"v7","source":"store"}
+{"time":"2026-01-01T00:00:02.05Z","msg":"waiting for quota","node":"n1","request":"up","organisation":"coop","expected_ms":40}
 {"time":"2026-01-01T00:00:02.1Z","msg":"sent","node":"n1","request":"up","runner":"r","version":"v7","goes_on":true,"attempt":1}
 {"time":"2026-01-01T00:00:03.0Z","msg":"ended","node":"n1","request":"cut","runner":"r","result":"broken","took_ms":700}
 {"time":"2026-01-01T00:00:03.0Z","msg":"answer cut off","node":"n1","request":"cut","cause":"retry_budget_spent","by":"system","waited_ms":700,"events":3,"last_event":"e3","runner":"r","manifest":7,"manifest_in_force_ms":2100}
@@ -64,10 +65,11 @@
 	if text := served.Steps[2].Text; !strings.HasPrefix(text, "runner r has sent nothing for 50 ms; no other") {
 		t.Errorf("step %q, want the silence of the runner", text)
 	}
-	if up, _ := BuildTimeline(lines, "up"); len(up.Steps) != 2 ||
+	if up, _ := BuildTimeline(lines, "up"); len(up.Steps) != 3 ||
 		!strings.Contains(up.Steps[0].Text, "of request p, begun by software version v7 (known from: store)") ||
-		!strings.HasSuffix(up.Steps[1].Text, "goes on at software version v7") {
-		t.Errorf("steps %+v, want the stream that is taken up and its version", up.Steps)
+		!strings.Contains(up.Steps[1].Text, "waits for the quota") || !strings.Contains(up.Steps[1].Text, "40 ms") ||
+		!strings.HasSuffix(up.Steps[2].Text, "goes on at software version v7") {
+		t.Errorf("steps %+v, want the stream that is taken up, its wait and its version", up.Steps)
 	}
 	if cut, _ := BuildTimeline(lines, "cut"); cut.Cause != "The answer was cut off after 3 events, 700 ms after arrival: the runner "+
 		"broke off, and the retry budget was spent (retry_budget_spent); the last failed attempt was at runner r: broken. "+
