Expect calls that wait for their origin to be charged by the limit in force

The table of calls over changes of the manifest expected a whole answer of a call that waits for its origin while the limit is lowered: it had been charged when it was admitted. Since take-ups wait for their quota, they are charged once their origin is known, by the limit in force then, and such a call is refused as over the limit and not run, which is true. The test now requires that very refusal in that cell; all others are as before.

--- a/node/entry/changes_test.go
+++ b/node/entry/changes_test.go
@@ -190,7 +190,8 @@
 
 // TestCallsOutliveManifestChanges guards calls that are open while the manifest changes. They were admitted under the one before
 // and keep its terms: each gets its whole answer. Only a call that waits for a model which no runner will load any more may be
-// refused, as not run. Nothing is left of any of them.
+// refused, as not run, and one that is charged once its origin is known, by the limit in force then. Nothing is left of any of
+// them.
 func TestCallsOutliveManifestChanges(t *testing.T) {
 	for state, reach := range callStates {
 		for _, change := range slices.Sorted(maps.Keys(manifestChanges)) {
@@ -207,6 +208,11 @@
 				}
 				refusal := h.finish(c)
 				mayRefuse := slices.Contains(modelGone, change) && !c.streaming && c.sends == 0
+				if state == "waits for its origin" && change == "quota lowered" {
+					if mayRefuse = true; refusal == nil || refusal.Code != contract.RateLimited {
+						t.Errorf("got %+v, want a refusal by the lowered limit", refusal)
+					}
+				}
 				if refusal != nil && (!mayRefuse || refusal.MayHaveRun) {
 					t.Errorf("refused with %s, may have run %v (%s); want a whole answer", refusal.Code, refusal.MayHaveRun, refusal.Detail)
 				}
