--- a/node/entry/cut.go
+++ b/node/entry/cut.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"log/slog"
 	"time"
 
@@ -76,10 +77,15 @@
 	counter *prometheus.CounterVec
 }
 
-// record counts and logs an answer that is cut off. more are further fields of the log line.
+// record counts and logs an answer that is cut off, as a warning if the cause is this VM's or a runner's. more are further
+// fields of the log line.
 func (l cutLog) record(c *call, cause cutCause, sent passedOn, now clock.Instant, more ...any) {
 	l.counter.WithLabelValues(string(cause), string(cause.by())).Inc()
-	l.log.Warn("answer cut off", append([]any{"request", c.request.ID, "cause", string(cause), "by", string(cause.by()),
+	level := slog.LevelInfo
+	if by := cause.by(); by == bySystem || by == byRunner {
+		level = slog.LevelWarn
+	}
+	l.log.Log(context.Background(), level, "answer cut off", append([]any{"request", c.request.ID, "cause", string(cause), "by", string(cause.by()),
 		"waited_ms", now.Sub(c.request.Arrived).Milliseconds(), "events", sent.events, "last_event", sent.lastEvent}, more...)...)
 }
 
