--- a/node/entry/silence.go
+++ b/node/entry/silence.go
@@ -1,9 +1,12 @@
 package entry
 
 import (
+	"context"
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/mangopass/mangopass/duty/clock"
 	"github.com/mangopass/mangopass/fleet/contract"
 	"github.com/mangopass/mangopass/fleet/link"
@@ -137,6 +140,9 @@
 	return !now.Add(next.Wait+next.Prefill+link.FirstTokenTime).After(end) && !r.table.Link(next.Runner).Ejected(now)
 }
 
+// givenUp reports whether an attempt was ended because its runner was silent.
+func (a attempt) givenUp() bool { return errors.Is(context.Cause(a.ctx), errSilent) }
+
 // endSilence forgets what the silence of the attempt that has just ended has led to.
 func (r *routing) endSilence(c *call) {
 	if c.reserved != nil {
--- a/node/entry/silence_test.go
+++ b/node/entry/silence_test.go
@@ -1,12 +1,9 @@
 package entry
 
 import (
-	"context"
 	"testing"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/mangopass/mangopass/duty/clock"
 	"github.com/mangopass/mangopass/duty/ring"
 	"github.com/mangopass/mangopass/fleet/contract"
@@ -46,7 +43,7 @@
 	since := h.now
 	h.now = h.now.Add(d)
 	h.apply(attemptSilent{call: c, attempt: a, since: since, started: started, progress: since})
-	return errors.Is(context.Cause(a.ctx), errSilent)
+	return a.givenUp()
 }
 
 // TestSilentAttemptIsKeptIfItCannotGoOn guards against streams that are cut off because their runner was silent for a while,
@@ -156,7 +153,7 @@
 	h.now = h.now.Add(hungFor)
 	for i, c := range calls {
 		h.apply(attemptSilent{call: c, attempt: attempts[i], since: since, started: true, progress: since})
-		if errors.Is(context.Cause(attempts[i].ctx), errSilent) {
+		if attempts[i].givenUp() {
 			moved++
 		}
 	}
@@ -174,6 +171,27 @@
 	}
 }
 
+// TestSilenceIsNoCrash guards a request whose runners have been silent twice against being refused as one that crashes runners.
+func TestSilenceIsNoCrash(t *testing.T) {
+	h, first, a := sendToSilentEngine(t, "e2", "e3")
+	second, d := h.admitChat() // the caller sends the same content again
+	for _, s := range []struct {
+		call    *call
+		attempt attempt
+	}{{first, a}, {second, d.attempt}} {
+		if !h.stayQuiet(s.call, s.attempt, hungFor, false) {
+			t.Fatal("the attempt is kept")
+		}
+		if next := h.endAttempt(s.call, s.attempt, resultBroken); next == nil || next.refusal != nil {
+			t.Errorf("decision %+v, want an attempt at another engine", next)
+		}
+	}
+	h.apply(storeChanged{sent: h.now}) // the manifest is current
+	if _, d := h.admitChat(); d == nil || d.refusal != nil {
+		t.Errorf("decision %+v on the content that met two silences, want an attempt", d)
+	}
+}
+
 // TestSilentMessageOfEndedAttempt guards the retry budget against an attempt that has ended before its silence is handled.
 func TestSilentMessageOfEndedAttempt(t *testing.T) {
 	h, chat, a := sendToSilentEngine(t, "e2")
