Count no time in the routing duty's ring as a silence of a runner

A stream could be given up although its runner had gone on: the routing duty measured a silence up to the instant at which it got to the report, not up to the one at which the exchange had found nothing to read. A duty that gets to a report of 1.2 s a second late, since it was starved or suspended then, gave the stream up, whatever had been passed on meanwhile. The guard against late timers (readTime) covers only the exchange.

The report now says when it was made. If the runner is still silent, the next report, made after the longest silence of a sound runner, gives the stream up.

TestLateReportOfSilence failed before and passes now.

--- a/node/entry/changes_test.go
+++ b/node/entry/changes_test.go
@@ -138,7 +138,7 @@
 		h.start(c, d.attempt)
 		since := h.now
 		h.now = h.now.Add(longestSoundSilence)
-		h.apply(attemptSilent{call: c, attempt: d.attempt, since: since, started: true, progress: since})
+		h.apply(attemptSilent{call: c, attempt: d.attempt, since: since, at: h.now, started: true, progress: since})
 		if d.attempt.ctx.Err() == nil {
 			panic("the silent attempt is kept")
 		}
--- a/node/entry/silence.go
+++ b/node/entry/silence.go
@@ -71,6 +71,7 @@
 	call     *call
 	attempt  attempt
 	since    clock.Instant // of the attempt's last event, or of its start
+	at       clock.Instant // when the silence was measured; the duty may apply it much later
 	started  bool          // an event of the attempt has come
 	progress clock.Instant // of the caller's last event in any attempt, or of the request's arrival
 }
@@ -87,7 +88,7 @@
 		c.suspected = true
 		l.Failed(now)
 	}
-	silent, kept := now.Sub(m.since), mayGoOn
+	silent, kept := m.at.Sub(m.since), mayGoOn
 	if silent >= a.keptFor(m.started) {
 		kept = r.reserveRetry(c, a, m.progress, now)
 	}
@@ -203,7 +204,7 @@
 		s.arm(now, s.attempt.silenceTimeout-silent)
 		return
 	}
-	m := attemptSilent{call: s.call, attempt: s.attempt, since: heard, started: started, progress: s.progress}
+	m := attemptSilent{call: s.call, attempt: s.attempt, since: heard, at: now, started: started, progress: s.progress}
 	if started {
 		m.progress = heard
 	}
--- a/node/entry/silence_test.go
+++ b/node/entry/silence_test.go
@@ -42,7 +42,7 @@
 func (h *harness) stayQuiet(c *call, a attempt, d time.Duration, started bool) bool {
 	since := h.now
 	h.now = h.now.Add(d)
-	h.apply(attemptSilent{call: c, attempt: a, since: since, started: started, progress: since})
+	h.apply(attemptSilent{call: c, attempt: a, since: since, at: h.now, started: started, progress: since})
 	return a.givenUp()
 }
 
@@ -152,7 +152,7 @@
 	since, moved := h.now, 0
 	h.now = h.now.Add(hungFor)
 	for i, c := range calls {
-		h.apply(attemptSilent{call: c, attempt: attempts[i], since: since, started: true, progress: since})
+		h.apply(attemptSilent{call: c, attempt: attempts[i], since: since, at: h.now, started: true, progress: since})
 		if attempts[i].givenUp() {
 			moved++
 		}
@@ -192,6 +192,19 @@
 	}
 }
 
+// TestLateReportOfSilence guards streams against a routing duty that gets to a report of a short silence late, when the runner may
+// have gone on: the time that the report has waited is none of the silence.
+func TestLateReportOfSilence(t *testing.T) {
+	h, chat, a := sendToSilentEngine(t, "e2")
+	h.beginStream(chat, a)
+	since := h.now
+	h.now = h.now.Add(hungFor)
+	h.apply(attemptSilent{call: chat, attempt: a, since: since, at: since.Add(streamSilenceTimeout), started: true, progress: since})
+	if a.givenUp() {
+		t.Errorf("given up after a silence of %v", streamSilenceTimeout)
+	}
+}
+
 // TestSilentMessageOfEndedAttempt guards the retry budget against an attempt that has ended before its silence is handled.
 func TestSilentMessageOfEndedAttempt(t *testing.T) {
 	h, chat, a := sendToSilentEngine(t, "e2")
