Don't take a stream that is given up while it is recorded for a failure of the store

If the first event of a stream of another version comes in the instant in which its runner is given up for silence, the wait for its record ends by that, which counted as a failed record: the caller got a 502 though a retry had been taken for the stream, and this VM began no stream that needs a record for a second. It now counts as a run that broke off, and goes on.

TestGivenUpWhileRecordedMayGoOn failed before ("unrecorded") and passes now. No play has shown the fault.

--- a/node/entry/callers.go
+++ b/node/entry/callers.go
@@ -281,7 +281,7 @@
 		return resultCallerGone
 	}
 	switch {
-	case errors.Is(err, errUnrecorded):
+	case errors.Is(err, errUnrecorded) && !errors.Is(context.Cause(ctx), errSilent):
 		return resultUnrecorded
 	case errors.Is(err, platform.ErrNoReplica):
 		return resultNoReplica
--- a/node/entry/silence_test.go
+++ b/node/entry/silence_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -205,6 +206,18 @@
 	}
 }
 
+// TestGivenUpWhileRecordedMayGoOn guards a stream whose first event comes just as its runner is given up, and is being recorded in
+// the store then, against a refusal, and the other streams of this VM against the pause after a failure of the store.
+func TestGivenUpWhileRecordedMayGoOn(t *testing.T) {
+	x := &exchange{callHandler: &callHandler{streamRecords: ring.New[streamRecord]("stream records", 1)}}
+	x.call = &call{ctx: t.Context()}
+	ctx, cancel := context.WithCancelCause(t.Context())
+	cancel(errSilent)
+	if got := x.classify(ctx, x.recordStream(ctx, attempt{})); got != resultBroken {
+		t.Errorf("result %v, want %v", got, resultBroken)
+	}
+}
+
 // TestSilentMessageOfEndedAttempt guards the retry budget against an attempt that has ended before its silence is handled.
 func TestSilentMessageOfEndedAttempt(t *testing.T) {
 	h, chat, a := sendToSilentEngine(t, "e2")
