Let a stream that was given up go back to its runner rather than to none

Cause: a runner that a call has left stays excluded for the rest of the call.

Change: a stream whose silent runner was given up goes back to a runner that it has left, if no other one can take it and that one is not ejected. Streams whose runner broke off don't: what they hold may be what breaks it.

Measured: TestGivenUpStreamGoesBackToItsRunner failed before ('the stream still waits') and passes.

--- a/node/entry/admission.go
+++ b/node/entry/admission.go
@@ -208,7 +208,7 @@
 		r.refuseWithCode(c, cutDeadline, contract.DeadlineExceeded, "the deadline has passed", now)
 		return
 	}
-	choice, ok := r.table.Pick(r.fleet, r.requirements(c, now), now)
+	choice, ok := r.pick(c, now)
 	if ok && !choice.Timely && choice.Wait+choice.Prefill > c.deadline.Sub(now) {
 		r.refuseQueued(c, choice.Wait, now)
 		return
--- a/node/entry/silence_test.go
+++ b/node/entry/silence_test.go
@@ -280,3 +280,29 @@
 		timer.stop()
 	}
 }
+
+// TestGivenUpStreamGoesBackToItsRunner guards a stream whose silent runner was given up, and whose next one can't be reached: its
+// first runner is sound again, and the stream must not be cut off for want of another one.
+func TestGivenUpStreamGoesBackToItsRunner(t *testing.T) {
+	h, c, a := sendToSilentEngine(t, "e2")
+	h.beginStream(c, a)
+	if !h.stayQuiet(c, a, hungFor, true) {
+		t.Fatal("the silent attempt is kept")
+	}
+	h.breakStream(c, a)
+	next := h.decision(c)
+	if next == nil || next.refusal != nil || next.attempt.runner != "e2" {
+		t.Fatalf("decision %+v, want an attempt at the other engine", next)
+	}
+	h.apply(attemptEnded{call: c, attempt: next.attempt, result: resultUnreachable})
+	for end := h.now.Add(continuationWait); h.now.Before(end); h.now = h.now.Add(maxTickPeriod) {
+		h.onTick(h.now)
+		if back := h.decision(c); back != nil {
+			if back.refusal != nil || back.attempt.runner != silentEngine {
+				t.Errorf("decision %+v, want an attempt at the first engine", back)
+			}
+			return
+		}
+	}
+	t.Error("the stream still waits")
+}
--- a/node/entry/waiting.go
+++ b/node/entry/waiting.go
@@ -11,6 +11,21 @@
 	return !now.Before(c.waitUntil) || r.stopsSoon(now) && !c.streaming
 }
 
+// pick chooses a runner for a call. A stream whose silent runner was given up goes back to a runner that it has left, if it finds
+// no other one and that one is not ejected: it may have been silent only for a while.
+func (r *routing) pick(c *call, now clock.Instant) (link.Choice, bool) {
+	requirements := r.requirements(c, now)
+	choice, ok := r.table.Pick(r.fleet, requirements, now)
+	if ok || !c.streaming || !c.givenUp {
+		return choice, ok
+	}
+	requirements.Exclude = nil
+	if again, found := r.table.Offer(r.fleet, requirements, now); !found || r.table.Link(again.Runner).Ejected(now) {
+		return choice, false
+	}
+	return r.table.Pick(r.fleet, requirements, now)
+}
+
 // wait queues a call until a replica is ready or a runner at its rate limit takes one more request, or until it may wait
 // no longer. The planner gets a report at once, since it decides which runner loads the model.
 func (r *routing) wait(c *call, choice link.Choice, now clock.Instant) {
