Wait for a silent runner for 2 s and the pause that its route allows

What callers could see: a stream whose next event would have come 0.4 s after the one before, from a runner that is then silent for 2 s, was given up after 2.25 s, and cut off if the next runner did not take it.

Cause: the 250 ms beyond the silence of a sound runner left no room for the pause between two events, for which routes allow 0.4 s and more.

Change: the pause that the route allows takes the place of the 250 ms, if it is longer. Before the first event nothing changes.

Measured: TestSilenceOfSoundRunnerIsWaitedFor, with silences of 2 s on top of the pause, failed before ('given up after a silence of 2.39s') and passes.

--- a/node/entry/message.go
+++ b/node/entry/message.go
@@ -80,7 +80,7 @@
 	engine          bool          // the runner is a model engine, which states its process when it is asked
 	verifyBoot      bool          // the runner must be asked first whether it still is the process that boot names
 	silenceTimeout  time.Duration // time without an event or answer after which the runner is suspected; zero: no limit
-	soundSilence    time.Duration // time between two events that a sound runner may take; zero: silenceTimeout
+	soundSilence    time.Duration // time between two events that a sound runner may take; zero: as silenceTimeout
 }
 
 // result is the outcome of an attempt.
--- a/node/entry/silence.go
+++ b/node/entry/silence.go
@@ -17,9 +17,10 @@
 	// requests go elsewhere, unless the route allows pauses of more than 1/silenceGaps of that.
 	streamSilenceTimeout = 1200 * time.Millisecond
 	silenceGaps          = 1.5
-	// longestSoundSilence is the longest time between two events of a resumable stream whose runner is sound: it may be silent
-	// for 2 s. The rest is for the pause before its next event, and for the way and the processes here.
-	longestSoundSilence = 2*time.Second + 250*time.Millisecond
+	// soundSilence is the longest time for which a sound runner is silent. After it come the pause before the next event, as long
+	// as the route allows, and the way and the processes here, for which silenceMargin is enough without such a pause.
+	soundSilence  = 2 * time.Second
+	silenceMargin = 250 * time.Millisecond
 	// silenceRecheck is the time after which it is asked again whether a silent attempt can be given up.
 	silenceRecheck = 500 * time.Millisecond
 	// readTime is the time that a process which was suspended or starved gets to read what has come meanwhile, before a runner
@@ -33,11 +34,12 @@
 // caller gets a whole refusal if the next runner fails too.
 func silenceTimes(route *contract.Route, a attempt, left time.Duration) (timeout, sound time.Duration) {
 	gaps := time.Duration(silenceGaps * float64(route.MaxGap))
+	longest := soundSilence + max(silenceMargin, route.MaxGap)
 	switch {
 	case a.resumable && !a.timely:
-		return left, max(longestSoundSilence, gaps) // it may wait behind all calls that can be in time
+		return left, longest // it may wait behind all calls that can be in time
 	case a.resumable:
-		return max(streamSilenceTimeout, gaps) + a.expectedLatency, max(longestSoundSilence, gaps)
+		return max(streamSilenceTimeout, gaps) + a.expectedLatency, longest
 	case route.Kind == contract.Safe && route.MaxAttempts > 1:
 		return left / 3, 0
 	}
@@ -53,7 +55,7 @@
 	case started:
 		return max(a.silenceTimeout, a.soundSilence)
 	}
-	return max(a.silenceTimeout, a.soundSilence+a.expectedLatency)
+	return max(a.silenceTimeout, soundSilence+silenceMargin+a.expectedLatency)
 }
 
 // keptReason says why an attempt whose runner is silent is not given up.
--- a/node/entry/silence_test.go
+++ b/node/entry/silence_test.go
@@ -111,6 +111,7 @@
 				silence += a.expectedLatency
 			} else {
 				h.beginStream(chat, a)
+				silence += allowedGap - 10*time.Millisecond // the pause that the next event would have come after anyway
 			}
 			if h.stayQuiet(chat, a, silence, started) {
 				t.Errorf("given up after a silence of %v, started: %v", silence, started)
