--- a/node/entry/admission.go
+++ b/node/entry/admission.go
@@ -288,7 +288,8 @@
 	r.table.Limits.Sent(runner, now)
 	r.table.Link(runner).Sent(c.artifact, choice.Prefill, choice.Timely)
 	r.log.Info("sent", "request", c.request.ID, "route", route.Name, "runner", runner.ID, "version", runner.Version,
-		"goes_on", c.pinned, "recorded", a.recorded, "model", c.artifact.Model, "adapter", c.artifact.Adapter, "attempt", c.sends, "queued_ms", choice.Wait.Milliseconds(), "timely", choice.Timely,
+		"goes_on", c.pinned, "recorded", a.recorded, "model", c.artifact.Model, "adapter", c.artifact.Adapter,
+		"attempt", c.sends, "queued_ms", choice.Wait.Milliseconds(), "timely", choice.Timely,
 		"waited_ms", now.Sub(c.request.Arrived).Milliseconds(), "manifest", r.manifest.Version)
 	r.metrics.sent.Inc()
 	c.decisions.TryPush(decision{attempt: a})
--- a/node/entry/attempts.go
+++ b/node/entry/attempts.go
@@ -136,7 +136,7 @@
 		r.streams.pausedUntil = now.Add(recordPause)
 		r.abandon(c, cutUnrecorded, contract.Failed(contract.StreamUnrecorded, "what began the stream could not be recorded"), now)
 		return
-	case m.result == resultBroken && m.attempt.artifact.Model != "" && !c.streaming && !m.attempt.givenUp():
+	case m.result == resultBroken && m.attempt.artifact.Model != "" && !c.streaming && !m.attempt.endedForSilence():
 		r.countCrash(c.request.Digest, "", now)
 		if r.crashes.Blocked(c.request.Digest, now) {
 			r.abandon(c, cutCrashing, contract.Failed(contract.RunnerFailed, "the request broke off at several runners"), now)
--- a/node/entry/cut.go
+++ b/node/entry/cut.go
@@ -85,8 +85,11 @@
 	if by := cause.by(); by == bySystem || by == byRunner {
 		level = slog.LevelWarn
 	}
-	l.log.Log(context.Background(), level, "answer cut off", append([]any{"request", c.request.ID, "cause", string(cause), "by", string(cause.by()),
-		"waited_ms", now.Sub(c.request.Arrived).Milliseconds(), "events", sent.events, "last_event", sent.lastEvent}, more...)...)
+	fields := []any{
+		"request", c.request.ID, "cause", string(cause), "by", string(cause.by()),
+		"waited_ms", now.Sub(c.request.Arrived).Milliseconds(), "events", sent.events, "last_event", sent.lastEvent,
+	}
+	l.log.Log(context.Background(), level, "answer cut off", append(fields, more...)...)
 }
 
 // noteCut records that the answer to a call is cut off, unless that has been recorded already. The exchange aborts the
--- a/node/entry/silence.go
+++ b/node/entry/silence.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// streamSilenceTimeout is the time without an event after which the runner of a resumable stream is suspected, so that new
-	// requests go elsewhere, unless the route allows pauses of more than 1/silenceGaps of that.
+	// streamSilenceTimeout is the shortest time without an event after which the runner of a resumable stream is suspected, so
+	// that new requests go elsewhere. It is at least silenceGaps times the pause that the route allows.
 	streamSilenceTimeout = 1200 * time.Millisecond
 	silenceGaps          = 1.5
 	// soundSilence is the longest time for which a sound runner is silent. After it come the pause before the next event, as long
@@ -30,7 +30,7 @@
 
 // silenceTimes returns how long an attempt may go without an event or answer before its runner is suspected, and how long a
 // sound runner may take between two events. The first is zero, which means no limit, if the call may be neither resumed nor
-// retried. A safe request is suspected and given up after a third of its time: nothing of an answer has been sent, so that its
+// retried. The second is zero for a call that is no resumable stream; it is given up as soon as its runner is suspected. A safe request is suspected and given up after a third of its time: nothing of an answer has been sent, so that its
 // caller gets a whole refusal if the next runner fails too.
 func silenceTimes(route *contract.Route, a attempt, left time.Duration) (timeout, sound time.Duration) {
 	gaps := time.Duration(silenceGaps * float64(route.MaxGap))
@@ -62,6 +62,7 @@
 type keptReason string
 
 const (
+	notKept       keptReason = "" // it is given up
 	mayGoOn       keptReason = "a sound runner may be silent for so long"
 	noAttemptLeft keptReason = "the request may not be sent again"
 	noOther       keptReason = "no other runner can go on in time"
@@ -94,20 +95,20 @@
 	if silent >= a.keptFor(m.started) {
 		kept = r.reserveRetry(c, a, m.progress, now)
 	}
-	if kept == c.kept && kept != "" {
+	if kept == c.kept && kept != notKept {
 		return
 	}
 	c.kept = kept
 	r.log.Info("runner silent", "request", c.request.ID, "runner", a.runner, "silent_ms", silent.Milliseconds(),
-		"given_up", kept == "", "kept_because", kept)
-	if kept == "" {
+		"given_up", kept == notKept, "kept_because", kept)
+	if kept == notKept {
 		a.cancel(errSilent)
 	}
 }
 
 // reserveRetry takes a retry of a call from its service's budget before the attempt in progress ends, if another runner can go
 // on with the call in time and it may be sent again. Until the attempt has ended, the call counts there as sent, so that the
-// next one sees it. It returns why it has not done so, or an empty reason.
+// next one sees it. It returns why it has not done so, or notKept.
 func (r *routing) reserveRetry(c *call, a attempt, progress, now clock.Instant) keptReason {
 	route := c.admitted.Route
 	if c.retryTaken || !route.Repeatable() || c.runs+1 >= route.MaxAttempts || c.sends >= maxSends {
@@ -127,7 +128,7 @@
 		runner: next.Runner.ID, boot: next.Runner.Boot, artifact: c.artifact, prefill: next.Prefill, timely: next.Timely,
 	}
 	r.table.Link(next.Runner).Sent(c.artifact, next.Prefill, next.Timely)
-	return ""
+	return notKept
 }
 
 // canGoOn reports whether a stream can be expected to go on at a runner before its deadline and before its caller abandons it.
@@ -143,15 +144,15 @@
 	return !now.Add(next.Wait+next.Prefill+link.FirstTokenTime).After(end) && !r.table.Link(next.Runner).Ejected(now)
 }
 
-// givenUp reports whether an attempt was ended because its runner was silent.
-func (a attempt) givenUp() bool { return errors.Is(context.Cause(a.ctx), errSilent) }
+// endedForSilence reports whether an attempt was given up because its runner was silent.
+func (a attempt) endedForSilence() bool { return errors.Is(context.Cause(a.ctx), errSilent) }
 
 // endSilence forgets what the silence of the attempt that has just ended has led to.
 func (r *routing) endSilence(c *call) {
 	if c.reserved != nil {
 		r.forgetSent(*c.reserved)
 	}
-	c.reserved, c.suspected, c.kept = nil, false, ""
+	c.reserved, c.suspected, c.kept = nil, false, notKept
 }
 
 // forgetSent takes back that an attempt counts as sent to its runner.
--- a/node/entry/silence_test.go
+++ b/node/entry/silence_test.go
@@ -44,7 +44,7 @@
 	since := h.now
 	h.now = h.now.Add(d)
 	h.apply(attemptSilent{call: c, attempt: a, since: since, at: h.now, started: started, progress: since})
-	return a.givenUp()
+	return a.endedForSilence()
 }
 
 // TestSilentAttemptIsKeptIfItCannotGoOn guards against streams that are cut off because their runner was silent for a while,
@@ -155,7 +155,7 @@
 	h.now = h.now.Add(hungFor)
 	for i, c := range calls {
 		h.apply(attemptSilent{call: c, attempt: attempts[i], since: since, at: h.now, started: true, progress: since})
-		if attempts[i].givenUp() {
+		if attempts[i].endedForSilence() {
 			moved++
 		}
 	}
@@ -202,7 +202,7 @@
 	since := h.now
 	h.now = h.now.Add(hungFor)
 	h.apply(attemptSilent{call: chat, attempt: a, since: since, at: since.Add(streamSilenceTimeout), started: true, progress: since})
-	if a.givenUp() {
+	if a.endedForSilence() {
 		t.Errorf("given up after a silence of %v", streamSilenceTimeout)
 	}
 }
