--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -135,7 +135,7 @@
 		}
 	}()
 	var out []string
-	for port := 21000 + os.Getpid()%500*16; len(out) < n && port < 32000; port++ {
+	for port := 21000 + os.Getpid()%50*220; len(out) < n && port < 32000; port++ {
 		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err != nil || g.used(l) {
 			continue
@@ -371,6 +371,10 @@
 		os.Exit(runRunner(os.Args[2:]))
 	case "large-bodies":
 		os.Exit(largeBodies(os.Args[2:]))
+	case "store":
+		os.Exit(runStore(os.Args[2:]))
+	case "take-over":
+		os.Exit(takeOver(os.Args[2:]))
 	case "double-slash":
 		os.Exit(doubleSlash(os.Args[2:]))
 	case "crashing-request":
--- a/review/rig/runner.go
+++ b/review/rig/runner.go
@@ -44,6 +44,8 @@
 	Tenant  string `json:"tenant,omitempty"`
 	Model   string `json:"model,omitempty"`
 	Last    string `json:"last,omitempty"`
+	Holder  string `json:"holder,omitempty"` // of an order
+	Fence   int64  `json:"fence,omitempty"`
 	Detail  string `json:"detail,omitempty"`
 }
 
@@ -55,7 +57,7 @@
 	out       *os.File
 	beats     int64
 	sequence  int64
-	models    map[string]bool
+	models    map[string]map[string]bool // loaded, each with its adapters
 	loading   string
 	busyUntil time.Time
 	running   int
@@ -66,7 +68,7 @@
 	f := flag.NewFlagSet("runner", flag.ExitOnError)
 	text := f.String("spec", "", "the runner as JSON")
 	_ = f.Parse(args)
-	r := &runnerProcess{born: time.Now().UnixMilli(), models: map[string]bool{}}
+	r := &runnerProcess{born: time.Now().UnixMilli(), models: map[string]map[string]bool{}}
 	if err := json.Unmarshal([]byte(*text), &r.runnerSpec); err != nil {
 		return fail("spec", err)
 	}
@@ -75,7 +77,7 @@
 		return fail("log", err)
 	}
 	for _, m := range r.Models {
-		r.models[m] = true
+		r.models[m] = map[string]bool{}
 	}
 	l, err := net.Listen("tcp", r.Address)
 	if err != nil {
@@ -138,15 +140,19 @@
 
 func (r *runnerProcess) modelList() []map[string]any {
 	out := []map[string]any{}
-	for m := range r.models {
-		out = append(out, map[string]any{"name": m, "version": 1, "adapters": []string{}})
+	for m, adapters := range r.models {
+		list := []string{}
+		for a := range adapters {
+			list = append(list, a+"@1")
+		}
+		out = append(out, map[string]any{"name": m, "version": 1, "adapters": list})
 	}
 	return out
 }
 
 func (r *runnerProcess) finishLoad() {
 	if r.loading != "" && !time.Now().Before(r.busyUntil) {
-		r.models[r.loading] = true
+		r.models[r.loading] = map[string]bool{}
 		r.loading = ""
 	}
 }
@@ -174,17 +180,28 @@
 		Expected                   *int64
 	}
 	data, _ := io.ReadAll(q.Body)
-	if json.Unmarshal(data, &o) != nil || o.Holder == "" || o.Fence == 0 || o.Adapter != "" {
+	if json.Unmarshal(data, &o) != nil || o.Holder == "" || o.Fence == 0 {
 		w.WriteHeader(400)
 		return
 	}
 	r.mu.Lock()
 	r.finishLoad()
-	status := 202
+	status, adapters := 202, r.models[o.Model]
 	switch {
 	case r.loading != "" || o.Expected != nil && *o.Expected != r.sequence:
 		status = 409
-	case r.models[o.Model] == (o.Op == "load"):
+	case o.Adapter != "" && adapters == nil:
+		status = 400
+	case o.Adapter != "" && adapters[o.Adapter] == (o.Op == "load"):
+		status = 200
+	case o.Adapter != "" && o.Op == "load":
+		r.sequence++
+		adapters[o.Adapter] = true
+	case o.Adapter != "":
+		r.sequence++
+		delete(adapters, o.Adapter)
+		status = 200
+	case (adapters != nil) == (o.Op == "load"):
 		status = 200
 	case o.Op == "load":
 		r.sequence++
@@ -194,7 +211,7 @@
 		delete(r.models, o.Model)
 	}
 	r.mu.Unlock()
-	r.log(logLine{What: "order", Model: o.Model, Detail: fmt.Sprintf("%s by %s, fence %d: %d", o.Op, o.Holder, o.Fence, status)})
+	r.log(logLine{What: "order", Model: o.Model, Holder: o.Holder, Fence: o.Fence, Detail: fmt.Sprintf("%s %s %s, answered %d", o.Op, o.Model, o.Adapter, status)})
 	w.WriteHeader(status)
 }
 
@@ -219,7 +236,7 @@
 	id, model := q.Header.Get("X-Mangopass-Request-Id"), q.Header.Get("X-Mangopass-Model")
 	r.mu.Lock()
 	r.finishLoad()
-	lacks, full := r.Engine && !r.models[model], r.running >= r.Slots
+	lacks, full := r.Engine && !r.holds(model), r.running >= r.Slots
 	if !lacks && !full {
 		r.running++
 	}
@@ -275,6 +292,13 @@
 	}
 }
 
+// holds reports whether what a request names, MODEL or MODEL/ADAPTER, is loaded. The caller holds the lock.
+func (r *runnerProcess) holds(name string) bool {
+	model, adapter, _ := strings.Cut(name, "/")
+	adapters := r.models[model]
+	return adapters != nil && (adapter == "" || adapters[adapter])
+}
+
 // crash records the crash and kills this process.
 func (r *runnerProcess) crash(l logLine) {
 	time.Sleep(20 * time.Millisecond) // what was sent is on its way
