--- a/review/rig/proxy.go
+++ b/review/rig/proxy.go
@@ -13,7 +13,7 @@
 
 	mu    sync.Mutex
 	cut   bool
-	conns map[net.Conn]bool
+	calls int // connections that came during cuts
 }
 
 func startProxy(address, target string) (*proxy, error) {
@@ -21,7 +21,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{target: target, listener: l, conns: map[net.Conn]bool{}}
+	p := &proxy{target: target, listener: l}
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -50,6 +50,9 @@
 func (p *proxy) serve(c net.Conn) {
 	defer func() { _ = c.Close() }()
 	if p.isCut() {
+		p.mu.Lock()
+		p.calls++
+		p.mu.Unlock()
 		time.Sleep(10 * time.Second)
 		return
 	}
@@ -82,3 +85,17 @@
 	go forward(t, c)
 	<-done
 }
+
+// awaitCall waits, for a time at most, until another call has come during the cut, and 50 ms longer.
+func (p *proxy) awaitCall(limit time.Duration) {
+	count := func() int {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.calls
+	}
+	before := count()
+	for end := time.Now().Add(limit); count() == before && time.Now().Before(end); {
+		time.Sleep(5 * time.Millisecond)
+	}
+	time.Sleep(50 * time.Millisecond)
+}
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -50,6 +50,11 @@
 	return nil
 }
 
+func jsonText(v any) (string, error) {
+	data, err := json.Marshal(v)
+	return string(data), err
+}
+
 func reply(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
@@ -373,6 +378,8 @@
 		os.Exit(largeBodies(os.Args[2:]))
 	case "store":
 		os.Exit(runStore(os.Args[2:]))
+	case "late-leaver":
+		os.Exit(lateLeaver(os.Args[2:]))
 	case "take-over":
 		os.Exit(takeOver(os.Args[2:]))
 	case "double-slash":
--- a/review/rig/runner.go
+++ b/review/rig/runner.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"strconv"
 	"strings"
 	"sync"
@@ -30,6 +31,7 @@
 	CrashAfter                        int    // events that the request gets before that
 	HeartbeatMs                       int
 	LoadMs                            int
+	ServesMs                          int // after SIGUSR1, at which the runner's entry is removed; then it exits
 }
 
 // logLine is what a runner records.
@@ -62,6 +64,7 @@
 	busyUntil time.Time
 	running   int
 	lease     int64
+	left      bool // its entry has been removed
 }
 
 func runRunner(args []string) int {
@@ -84,6 +87,7 @@
 		return fail("listen", err)
 	}
 	go r.beat()
+	go r.awaitLeave()
 	mux := http.NewServeMux()
 	mux.HandleFunc("/-/report", r.serveReport)
 	mux.HandleFunc("/-/order", r.serveOrder)
@@ -111,7 +115,7 @@
 // beat writes the runner's entry under a lease of three heartbeats, so that it goes when the runner falls silent.
 func (r *runnerProcess) beat() {
 	period := time.Duration(r.HeartbeatMs) * time.Millisecond
-	for ; ; time.Sleep(period) {
+	for ; !r.hasLeft(); time.Sleep(period) {
 		if r.lease == 0 || post(r.Store, "/-/kv-keep/"+strconv.FormatInt(r.lease, 10), map[string]any{}, nil) != nil {
 			var out struct {
 				Lease int64 `json:"lease"`
@@ -134,10 +138,33 @@
 		}
 		r.mu.Unlock()
 		value, _ := json.Marshal(entry)
-		_ = post(r.Store, "/standin/put", map[string]any{"key": "servers/" + r.ID, "value": value, "lease": r.lease}, nil)
+		if !r.hasLeft() {
+			_ = post(r.Store, "/standin/put", map[string]any{"key": "servers/" + r.ID, "value": value, "lease": r.lease}, nil)
+		}
 	}
 }
 
+func (r *runnerProcess) hasLeft() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.left
+}
+
+// awaitLeave removes the runner's entry at SIGUSR1, and ends the process some time later.
+func (r *runnerProcess) awaitLeave() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGUSR1)
+	<-signals
+	r.mu.Lock()
+	r.left = true
+	r.mu.Unlock()
+	_ = post(r.Store, "/standin/put", map[string]any{"key": "servers/" + r.ID, "value": []byte{}}, nil)
+	r.log(logLine{What: "left"})
+	time.Sleep(time.Duration(r.ServesMs) * time.Millisecond)
+	r.log(logLine{What: "exits"})
+	os.Exit(0)
+}
+
 func (r *runnerProcess) modelList() []map[string]any {
 	out := []map[string]any{}
 	for m, adapters := range r.models {
--- a/review/rig/store.go
+++ b/review/rig/store.go
@@ -253,7 +253,7 @@
 	reply(w, 200, map[string]any{"ttl_ms": l.ttl.Milliseconds()})
 }
 
-// servePut writes a key in the place of the operator or a runner.
+// servePut writes a key, or removes it if the value is empty, in the place of the operator or a runner.
 func (s *kvStore) servePut(w http.ResponseWriter, r *http.Request) {
 	var in struct {
 		Key   string
@@ -266,7 +266,11 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.set(in.Key, in.Value, in.Lease)
+	if len(in.Value) == 0 {
+		s.remove(in.Key)
+	} else {
+		s.set(in.Key, in.Value, in.Lease)
+	}
 	reply(w, 200, map[string]any{"rev": s.revision})
 }
 
