--- a/review/rig/leaders.go
+++ b/review/rig/leaders.go
@@ -38,16 +38,18 @@
 		time.Sleep(4500 * time.Millisecond)
 	}
 	time.Sleep(5 * time.Second)
+	var healed time.Time
 	if g.trouble {
 		const cut = "front1" // the one that started last: the other one decides what is loaded
 		g.note("%s is cut off from the store", cut)
 		proxies[cut].setCut(true)
 		time.Sleep(7 * time.Second)
 		proxies[cut].setCut(false)
+		healed = time.Now()
 		g.note("%s reaches the store again", cut)
 	}
 	wait.Wait()
-	return g.judgeTurns(*record)
+	return g.judgeTurns(*record, healed)
 }
 
 func (g *rig) startForTakeOver(models, runners int) (map[string]*proxy, int) {
@@ -146,8 +148,9 @@
 	}()
 }
 
-func (g *rig) judgeTurns(record string) int {
-	const leaseMs = 3000
+// judgeTurns leaves out orders that arrive within thaw_ms after the link healed.
+func (g *rig) judgeTurns(record string, healed time.Time) int {
+	const leaseMs, thaw = 3000, 300 * time.Millisecond
 	lines, err := g.runnerLog()
 	if err != nil {
 		return fail("log", err)
@@ -158,6 +161,9 @@
 		if l.What != "order" {
 			continue
 		}
+		if since := time.UnixMilli(l.At).Sub(healed); !healed.IsZero() && since >= 0 && since <= thaw {
+			continue
+		}
 		orders++
 		g.noteAt(time.UnixMilli(l.At), "%s gets an order from %s: %s, fence %d", l.Runner, l.Holder, l.Detail, l.Fence)
 		if before, ok := last[l.Runner]; ok && before.Holder != l.Holder {
