Count the crashes of a request for every service, point of the answer and time

Cause: a broken run counted only with a model and before the first event, and the count was dropped 30 s after the last crash or with the process. The limit of two runs also refused bystanders that were at the same two runners.

Change: CrashTracker counts crashes instead of runs (each start of a runner once, if its connection ended before the answer did), for any service and at any point of the answer. The third blocks the request for five minutes, then twice as long each time; a whole answer clears it. Broken runs of requests and prompt parts travel in the same reports, and blocks of both are stored. The limit rises from two to three crashes, as the rule states it: two don't tell the request from a sound one. TestCrashTracker, TestCrashingRequestIsBlocked and TestCrashIsCountedOnceAtEachVM hold the new rule, with more cases each; TestCrashReportedOnce becomes TestCrashReportedUntilConfirmed, since a crash that is reported again no longer counts again.

--- a/fleet/link/parts.go
+++ b/fleet/link/parts.go
@@ -32,11 +32,6 @@
 	sameCrashTime = time.Second
 	// partWindow is how long crashes and complete runs are remembered.
 	partWindow = time.Minute
-	// minBlockTime is how long a part is blocked at first. Each crash after that doubles it, up to maxBlockTime.
-	minBlockTime = 5 * time.Minute
-	maxBlockTime = time.Hour
-	// maxBlocks limits the count of blocks in a row.
-	maxBlocks = 16
 	// maxTrackedParts limits the parts with crashes. Further ones are not counted.
 	maxTrackedParts = 4096
 )
@@ -44,21 +39,14 @@
 // BrokenRun is a run that broke off when its runner went down, and that may be the cause.
 type BrokenRun struct {
 	Digest   uint64   // of the request
-	Parts    []uint64 // of the prompt, as returned by SharedParts
+	Parts    []uint64 // of the prompt, as returned by SharedParts; none if it broke off later than BeginTime after the head
 	Runner   machine.RunnerID
 	Boot     int64         // start of the runner
 	Answered bool          // the head of the answer had arrived, no longer than BeginTime before
+	Took     time.Duration // time from the sending of the request until then
 	Age      time.Duration // time since it broke off
 }
 
-// BlockedPart is a prompt part whose requests are refused.
-type BlockedPart struct {
-	Part   uint64
-	Since  time.Duration // time since its first crash
-	Left   time.Duration // time until it is tried again
-	Blocks int           // times that it was blocked in a row
-}
-
 // SharedParts returns the IDs of the parts of a prompt that other requests may share: all but the last one, which belongs
 // to the request.
 func SharedParts(prompt []contract.PromptPart) []uint64 {
@@ -100,11 +88,9 @@
 
 // partRecord holds the crashes of one part, and for how long it is blocked.
 type partRecord struct {
-	position     int         // in the prompt, from the start
-	crashes      []partCrash // in the order of time
-	blockedSince clock.Instant
-	blockedUntil clock.Instant // zero: never blocked
-	blocks       int
+	position int         // in the prompt, from the start
+	crashes  []partCrash // in the order of time
+	block
 }
 
 // partCrash is a crash in which a run with the part broke off.
@@ -132,7 +118,7 @@
 		}
 		p.position = i
 		p.addCrash(c, run)
-		c.explained = c.explained || p.blocked(now)
+		c.explained = c.explained || p.active(now)
 		if t.reviewAt == 0 && p.overLimit() {
 			t.reviewAt = now.Add(settleTime)
 		}
@@ -152,7 +138,7 @@
 		if p == nil {
 			return blocked, explained
 		}
-		p.block(now)
+		p.blockFrom(now)
 		t.version++
 		blocked = append(blocked, part)
 		explained = append(explained, p.explain()...)
@@ -165,7 +151,7 @@
 	var part uint64
 	var most *partRecord
 	for id, p := range t.parts {
-		if p.blocked(now) || !p.overLimit() {
+		if p.active(now) || !p.overLimit() {
 			continue
 		}
 		if most == nil || p.scoresHigher(most) || !most.scoresHigher(p) && id < part {
@@ -232,9 +218,9 @@
 // overLimit reports whether the part is to be blocked. Its crashes must come from several requests, as one that crashes
 // runners by itself is known by its digest. Once the part has been blocked, one crash is enough.
 func (p *partRecord) overLimit() bool {
-	if p.blocks > 0 {
+	if p.times > 0 {
 		return slices.ContainsFunc(p.crashes, func(s partCrash) bool {
-			return !s.crash.explained && !s.crash.at.Before(p.blockedUntil)
+			return !s.crash.explained && !s.crash.at.Before(p.until)
 		})
 	}
 	sum, several := p.sum()
@@ -262,28 +248,15 @@
 	return sum + score, several
 }
 
-// blockTime returns how long a part is blocked that has been blocked the given number of times in a row.
-func blockTime(blocks int) time.Duration { return min(minBlockTime<<(blocks-1), maxBlockTime) }
-
-// StoredBlock returns the block of a part that was found in the platform's store. When it began is unknown: any complete
-// run that is remembered counts as later.
-func StoredBlock(part uint64, blocks int) BlockedPart {
-	blocks = min(blocks, maxBlocks)
-	return BlockedPart{Part: part, Since: partWindow, Left: blockTime(blocks), Blocks: blocks}
-}
-
-// block blocks the part, twice as long as the last time.
-func (p *partRecord) block(now clock.Instant) {
-	p.blockedSince = now
+// blockFrom blocks the part since its first crash.
+func (p *partRecord) blockFrom(now clock.Instant) {
+	first := now
 	for _, s := range p.crashes {
-		p.blockedSince = min(p.blockedSince, s.crash.at)
+		first = min(first, s.crash.at)
 	}
-	p.blocks = min(p.blocks+1, maxBlocks)
-	p.blockedUntil = now.Add(blockTime(p.blocks))
+	p.begin(now, first)
 }
 
-func (p *partRecord) blocked(now clock.Instant) bool { return now.Before(p.blockedUntil) }
-
 // explain marks the part's crashes as explained, and returns the digests of the requests whose runs broke off in those
 // that were not before.
 func (p *partRecord) explain() []uint64 {
@@ -300,7 +273,7 @@
 // Blocked returns the first of the given parts that is blocked, and false if none is.
 func (t *PartTracker) Blocked(parts []uint64, now clock.Instant) (uint64, bool) {
 	for _, part := range parts {
-		if p := t.parts[part]; p != nil && p.blocked(now) {
+		if p := t.parts[part]; p != nil && p.active(now) {
 			return part, true
 		}
 	}
@@ -314,7 +287,7 @@
 	for _, part := range parts {
 		t.completed[part] = now
 		if p := t.parts[part]; p != nil {
-			if p.blocks > 0 {
+			if p.times > 0 {
 				t.version++
 			}
 			delete(t.parts, part)
@@ -326,32 +299,31 @@
 
 // Adopt takes over a part that a peer blocks, and reports whether it was not blocked here. A part with a complete run
 // since its first crash is not taken over.
-func (t *PartTracker) Adopt(b BlockedPart, now clock.Instant) bool {
-	if b.Blocks < 1 || b.Blocks > maxBlocks || b.Left <= 0 || b.Since < 0 {
+func (t *PartTracker) Adopt(b BlockedSuspect, now clock.Instant) bool {
+	if !b.valid() {
 		return false
 	}
 	if at, ok := t.completed[b.Part]; ok && now.Sub(at) <= b.Since {
 		return false
 	}
 	p := t.record(b.Part, now)
-	if p == nil || p.blocks > b.Blocks || p.blocks == b.Blocks && p.blocked(now) {
+	if p == nil {
 		return false
 	}
-	before := p.blocked(now)
-	p.blockedSince, p.blockedUntil, p.blocks = now.Add(-b.Since), now.Add(min(b.Left, maxBlockTime)), b.Blocks
-	p.explain()
-	t.version++
-	return !before
+	adopted, began := p.adopt(b, now)
+	if adopted {
+		p.explain()
+		t.version++
+	}
+	return began
 }
 
 // BlockedParts returns the parts that are blocked.
-func (t *PartTracker) BlockedParts(now clock.Instant) []BlockedPart {
-	var out []BlockedPart
+func (t *PartTracker) BlockedParts(now clock.Instant) []BlockedSuspect {
+	var out []BlockedSuspect
 	for part, p := range t.parts {
-		if p.blocked(now) {
-			out = append(out, BlockedPart{
-				Part: part, Since: now.Sub(p.blockedSince), Left: p.blockedUntil.Sub(now), Blocks: p.blocks,
-			})
+		if p.active(now) {
+			out = append(out, p.state(part, now))
 		}
 	}
 	return out
@@ -365,7 +337,7 @@
 func (t *PartTracker) Expire(now clock.Instant) {
 	for part, p := range t.parts {
 		p.expire(now)
-		if len(p.crashes) == 0 && now.Sub(p.blockedUntil) > p.blockedUntil.Sub(p.blockedSince) {
+		if len(p.crashes) == 0 && p.over(now) {
 			delete(t.parts, part)
 		}
 	}
--- a/fleet/link/report.go
+++ b/fleet/link/report.go
@@ -44,14 +44,12 @@
 	Limits     []LimitUsage           // limits that runners have stated, and what was sent to them
 	Leaving    []machine.Process      // processes of runners that have stated that they leave: all if Whole, else those not reported yet
 	Asked      []machine.DemandReport // requests since the last report, and those waiting now; only towards the planner
-	Struck     []uint64               // digests of requests with a broken run since the last report, once for each run
-	Broken     []BrokenRun            // runs that broke off since the last report, for the parts of their prompts
+	Broken     []BrokenRun            // runs that broke off since the last report
 	Sound      []uint64               // prompt parts with crashes that a complete run has proved sound since
-	Blocked    []BlockedPart          // all prompt parts that the sender blocks, when they have changed
+	Blocked    []BlockedSuspect       // all prompt parts that the sender blocks, when they have changed
 
-	// StruckBefore holds the broken runs of earlier reports without an answer. A receiver that has applied such a report has
-	// counted them.
-	StruckBefore []CrashBatch
+	SoundRequests   []uint64         // as Sound, digests of requests
+	BlockedRequests []BlockedSuspect // as Blocked, requests
 
 	Manifest int64 // newest version of the manifest that the sender knows of
 
@@ -81,12 +79,6 @@
 // maxFigure is the largest figure that a report may state.
 const maxFigure = 1e15
 
-// CrashBatch is what a report with the given sequence number has stated as Struck.
-type CrashBatch struct {
-	Sequence uint64
-	Digests  []uint64
-}
-
 // EndedTerm says that the leader of a shard gives no more orders to its runners under a term, its exclusive right to
 // give them.
 type EndedTerm struct {
--- a/node/entry/admission.go
+++ b/node/entry/admission.go
@@ -86,11 +86,8 @@
 	c.waitUntil = c.request.Arrived.Add(time.Duration(waitShare * float64(c.deadline.Sub(c.request.Arrived))))
 	c.service = admitted.Route.Backend(r.rand.Float64())
 	c.artifact = machine.Artifact{Service: c.service, Model: c.request.Model, Adapter: c.request.Adapter}
-	if r.crashes.Blocked(c.request.Digest, now) {
-		return contract.Refuse(contract.CrashSuspect, 0, "runs of this request have broken off at several runners")
-	}
-	if part, blocked := r.promptParts.Blocked(c.parts, now); blocked {
-		return contract.Refuse(contract.CrashSuspect, 0, blockedPartDetail, part)
+	if s, blocked := r.suspectIn(c, now); blocked {
+		return contract.Refuse(contract.CrashSuspect, 0, "%s", s.detail)
 	}
 	if c.takesUp() {
 		return nil // charged when its origin is known
@@ -200,8 +197,8 @@
 		r.refuseStopping(c, now)
 		return
 	}
-	if part, blocked := r.promptParts.Blocked(c.parts, now); blocked {
-		r.refuseBlocked(c, part, now)
+	if s, blocked := r.suspectIn(c, now); blocked {
+		r.refuseSuspect(c, s, now)
 		return
 	}
 	if c.deadline.Sub(now) < minAttemptTime {
--- a/node/entry/keywriter.go
+++ b/node/entry/keywriter.go
@@ -10,7 +10,7 @@
 )
 
 // keyWriteCapacity is the number of writes that can wait for the duty.
-const keyWriteCapacity = 2 * maxStoredParts
+const keyWriteCapacity = 2 * maxStoredBlocks
 
 // keyWrite is a change of one of mangopass's keys in the store that aren't leased, if the key still has the given revision.
 type keyWrite struct {
--- a/node/entry/members.go
+++ b/node/entry/members.go
@@ -60,12 +60,10 @@
 	knownVersion      uint64        // version of this VM's runner states that it has
 	loadRequests      []machine.LoadRequest
 	unreportedLeaving []machine.Process                     // processes of runners to report to it that have stated to leave
-	crashes           crashReports                          // broken runs to report to it
-	crashesAppliedTo  uint64                                // sequence of its last report whose broken runs have been counted
 	reportedLimits    map[machine.RunnerID]reportedLimit    // limits and totals that were last reported to it
-	partUpdates       partUpdates                           // to report to it
-	partUpdatesSent   partUpdates                           // in the report under way
-	blockedSent       uint64                                // version of the blocked prompt parts that was last sent
+	crashUpdates      crashUpdates                          // to report to it
+	crashUpdatesSent  crashUpdates                          // in the report under way
+	blockedSent       blockedVersion                        // of the blocked suspects that were last sent
 	needsAll          bool                                  // the next report holds all loads and totals
 	allSentAt         clock.Instant                         // time when all were last sent to it
 	changed           link.Changes                          // loads that changed since they were last reported to it
@@ -171,7 +169,7 @@
 		for _, p := range r.members.peers {
 			p.registered = false
 		}
-		clear(r.storedParts)
+		clear(r.storedBlocks)
 		r.era.revision = 0
 		r.versions.forgetRevisions()
 		r.applyBegun(ownKeyChange{gone: true})
@@ -191,7 +189,7 @@
 		} else if name, ok := strings.CutPrefix(c.key, prefixNodes); ok {
 			r.applyNode(name, c, now)
 		} else if strings.HasPrefix(c.key, prefixBlocked) {
-			r.applyStoredPart(c, now)
+			r.applyStoredBlock(c, now)
 		} else if strings.HasPrefix(c.key, prefixVersions) {
 			r.applyVersions(c, link.Position{}, now)
 		} else if c.key == keySettledEra {
--- a/node/entry/metrics.go
+++ b/node/entry/metrics.go
@@ -12,22 +12,23 @@
 
 // entryMetrics holds the metrics of an entry VM.
 type entryMetrics struct {
-	sent         prometheus.Counter
-	results      *prometheus.CounterVec
-	refused      *prometheus.CounterVec
-	cutAnswers   *prometheus.CounterVec
-	orders       *prometheus.CounterVec
-	firstEvent   prometheus.Histogram
-	request      *prometheus.HistogramVec
-	manifest     prometheus.Gauge
-	manifestAge  prometheus.Gauge
-	runners      *prometheus.GaugeVec
-	peers        *prometheus.GaugeVec
-	shards       prometheus.Gauge
-	waiting      prometheus.Gauge
-	planner      prometheus.Gauge
-	blockedParts prometheus.Gauge
-	pauses       prometheus.Counter
+	sent            prometheus.Counter
+	results         *prometheus.CounterVec
+	refused         *prometheus.CounterVec
+	cutAnswers      *prometheus.CounterVec
+	orders          *prometheus.CounterVec
+	firstEvent      prometheus.Histogram
+	request         *prometheus.HistogramVec
+	manifest        prometheus.Gauge
+	manifestAge     prometheus.Gauge
+	runners         *prometheus.GaugeVec
+	peers           *prometheus.GaugeVec
+	shards          prometheus.Gauge
+	waiting         prometheus.Gauge
+	planner         prometheus.Gauge
+	blockedParts    prometheus.Gauge
+	blockedRequests prometheus.Gauge
+	pauses          prometheus.Counter
 
 	takeUps       *prometheus.CounterVec
 	streamRecords *prometheus.CounterVec
@@ -92,9 +93,10 @@
 		peers: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Namespace: metrics.Namespace, Name: "peers", Help: "Other entry VMs by whether their reports arrive.",
 		}, []string{"state"}),
-		shards:  newGauge("shards_held", "Shards of runners that this VM leads."),
-		waiting: newGauge("requests_waiting", "Requests that wait for a replica."),
-		planner: newGauge("planner", "1 if this VM decides on placement."),
+		shards:          newGauge("shards_held", "Shards of runners that this VM leads."),
+		waiting:         newGauge("requests_waiting", "Requests that wait for a replica."),
+		planner:         newGauge("planner", "1 if this VM decides on placement."),
+		blockedRequests: newGauge("requests_blocked", "Requests that are refused since they have crashed runners."),
 		blockedParts: newGauge("prompt_parts_blocked",
 			"Prompt parts whose requests are refused because they crash runners."),
 	}
@@ -106,7 +108,7 @@
 		m.cutAnswers.WithLabelValues(string(cause), string(cause.by()))
 	}
 	r.MustRegister(m.sent, m.results, m.refused, m.orders, m.firstEvent, m.request, m.manifest, m.manifestAge,
-		m.runners, m.peers, m.shards, m.waiting, m.planner, m.blockedParts, m.pauses, m.rejectedStatements,
+		m.runners, m.peers, m.shards, m.waiting, m.planner, m.blockedParts, m.blockedRequests, m.pauses, m.rejectedStatements,
 		m.takeUps, m.streamRecords, m.cutAnswers)
 	return m
 }
@@ -142,6 +144,7 @@
 	m.shards.Set(float64(r.leader.heldShards(now)))
 	m.waiting.Set(float64(len(r.waiting)))
 	m.blockedParts.Set(float64(len(r.promptParts.BlockedParts(now))))
+	m.blockedRequests.Set(float64(len(r.crashes.BlockedRequests(now))))
 	m.planner.Set(0)
 	if r.members.planner == r.node {
 		m.planner.Set(1)
--- a/node/entry/reports.go
+++ b/node/entry/reports.go
@@ -105,7 +105,7 @@
 	if p.needsAll = !p.outbox.TryPush(report); !p.needsAll {
 		p.reportPending, p.urgent, p.sentAt = true, false, now
 	} else {
-		p.partUpdates.add(p.partUpdatesSent)
+		p.crashUpdates.add(p.crashUpdatesSent)
 	}
 }
 
@@ -127,8 +127,7 @@
 	report.Loads, report.Spent = r.loadsFor(name, p), r.quotaUsageFor(name, p, now)
 	report.Limits = r.limitUsageFor(name, p, now)
 	report.Leaving = r.leavingFor(p)
-	p.crashes.addTo(report)
-	r.addPartUpdates(report, p, now)
+	r.addCrashUpdates(report, p, now)
 	if p == r.towardsPlanner() {
 		report.Asked = r.demand.Take(r.waitingRequests(), now)
 	}
@@ -193,7 +192,7 @@
 	p.reportPending = false
 	if !m.ok {
 		p.needsAll, p.fed = true, link.Position{} // whether the peer has applied the report is unknown
-		p.partUpdates.add(p.partUpdatesSent)
+		p.crashUpdates.add(p.crashUpdatesSent)
 		if p.failures++; p.failures >= maxDeliveryFailures {
 			p.avoidUntil = now.Add(avoidTime)
 		}
@@ -202,7 +201,6 @@
 	p.failures = 0
 	if m.role == p.role && m.series == p.series {
 		p.knownVersion, p.fed = m.version, p.feedSent
-		p.crashes.confirm()
 		for organisation := range p.reportedUsage {
 			if q := r.quotas[organisation]; q != nil {
 				q.Confirm(m.node)
@@ -276,8 +274,7 @@
 	}
 	r.applyLimitUsage(in, now)
 	r.applyLeaving(in, now)
-	r.applyCrashes(in, p, now)
-	r.applyPartUpdates(in, now)
+	r.applyCrashUpdates(in, now)
 	r.applyDemand(in, p, now)
 	r.applyFeed(in.Feed, now)
 	r.applyLeaderState(in, p, now)
--- a/node/entry/routing.go
+++ b/node/entry/routing.go
@@ -69,10 +69,10 @@
 	promptParts      *link.PartTracker
 	versions         softwareVersions
 	streams          streams
-	storedParts      map[uint64]storedPart // blocked parts in the platform's store
-	keyWrites        *ring.Ring[keyWrite]  // to the key writer
-	partsRecordedAt  clock.Instant         // last comparison of the blocked parts with those in the store
-	partsRecorded    uint64                // version of the blocked parts at that time
+	storedBlocks     map[suspect]storedBlock // blocked suspects in the platform's store
+	keyWrites        *ring.Ring[keyWrite]    // to the key writer
+	blocksRecordedAt clock.Instant           // last comparison of the blocked suspects with those in the store
+	blocksRecorded   blockedVersion          // of the blocked suspects at that time
 	crashesExpiredAt clock.Instant
 	inFlight         map[*call]bool // with an attempt whose answer has not begun
 	waiting          []*call
@@ -94,7 +94,7 @@
 		quotaQueue:   newQuotaQueue(),
 		retryBudgets: make(map[contract.ServiceName]*link.RetryBudget),
 		crashes:      link.NewCrashTracker(), promptParts: link.NewPartTracker(), inFlight: make(map[*call]bool),
-		storedParts: make(map[uint64]storedPart), versions: newSoftwareVersions(),
+		storedBlocks: make(map[suspect]storedBlock), versions: newSoftwareVersions(),
 		streams: streams{origins: link.NewOriginBook()},
 		demand:  machine.NewDemandBook(),
 	}
--- a/node/entry/silence.go
+++ b/node/entry/silence.go
@@ -137,7 +137,7 @@
 	if !c.admitted.Route.ResumableStream() {
 		return true
 	}
-	if _, blocked := r.promptParts.Blocked(c.parts, now); blocked {
+	if _, blocked := r.suspectIn(c, now); blocked {
 		return false
 	}
 	end := min(c.deadline, progress.Add(c.admitted.Route.Patience()))
--- a/node/entry/tree.go
+++ b/node/entry/tree.go
@@ -112,7 +112,7 @@
 	clear(p.reportedLimits)
 	p.membersSent, p.fed, p.feedSent = 0, link.Position{}, link.Position{}
 	p.unreportedLeaving = nil
-	p.partUpdates, p.partUpdatesSent = partUpdates{}, partUpdates{}
+	p.crashUpdates, p.crashUpdatesSent = crashUpdates{}, crashUpdates{}
 	if role == link.Unrelated {
 		r.table.SetPeer(name, nil)
 	} else {
--- a/standin/runner/http.go
+++ b/standin/runner/http.go
@@ -143,6 +143,10 @@
 		return
 	}
 	duty.Pause(req.Context(), r.TokenTime)
+	if faults.crashes {
+		r.crash()
+		panic(http.ErrAbortHandler)
+	}
 	r.stayQuiet(req.Context())
 	_, _ = fmt.Fprintf(w, "%s answers %s\n", r.ID, id)
 }
@@ -155,6 +159,7 @@
 	Faults
 	life    context.Context // ends when the runner crashes
 	version string          // of the process that runs it
+	crashes bool            // the request crashes the runner
 }
 
 // admit decides whether a request runs. It returns the faults to apply to the request and the index of its Run in the
@@ -181,7 +186,8 @@
 		Request: h.Get("X-Mangopass-Request-Id"), Path: req.URL.Path, Tenant: h.Get("X-Mangopass-Tenant"), Model: model,
 		Version: r.Version, Prompt: h.Get(headerPrompt), LastEvent: h.Get("Last-Event-Id"), Key: h.Get("Api-Key"), Body: body, At: time.Now(),
 	})
-	faults := runFaults{r.faults, r.life, r.Version}
+	crashes := r.faults.CrashBody != "" && strings.Contains(req.URL.Path+" "+body, r.faults.CrashBody)
+	faults := runFaults{r.faults, r.life, r.Version, crashes}
 	r.faults.Reset = max(0, r.faults.Reset-1)
 	r.faults.Hang = max(0, r.faults.Hang-1)
 	r.faults.Garble = max(0, r.faults.Garble-1)
@@ -211,6 +217,10 @@
 		if faults.SilentStreams > 0 && i == first+1+faults.SilentAfter {
 			duty.Pause(req.Context(), time.Duration(faults.SilenceMs)*time.Millisecond)
 		}
+		if faults.crashes && i > first+faults.CrashAfter {
+			r.crash()
+			return
+		}
 		r.stayQuiet(req.Context())
 		if faults.BreakAfter > 0 && i > first+faults.BreakAfter {
 			_, _ = fmt.Fprintf(w, "id: %d\ndata: tok", i)
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -62,6 +62,11 @@
 	// with the part, and starts again with the models of its spec. Empty: none.
 	CrashPart string `json:"crash_part"`
 
+	// CrashBody is a text in the body or path of a request that crashes the runner, CrashAfter events after it has begun to run
+	// the request. Empty: none.
+	CrashBody  string `json:"crash_body"`
+	CrashAfter int    `json:"crash_after"`
+
 	Leaving bool `json:"leaving"` // the runner states in its answers that it leaves; its entry stays as it is
 
 	// PauseS is the pause, in seconds, that the runner asks for while it refuses all requests as not executed; zero: none.
