Count the time for lapsed entries from the earliest end of an outage

Cause: the time for an entry to come back counted from the first call that succeeded, up to a time-out and a pause after the store was reachable again; each removal in that time was taken for a lapse; and VMs below a relay took over its outage though they had been in touch with the store.

Change: it counts from when the last failed call was sent, 2.8 s, which ends before the VM is in touch again. The VM probes the store with short calls while it is away, and reads without a pause after its return, so that live runners keep 2 s to come back. A runner that has renewed its entry since the outage began has left. A VM below a relay adopts an outage only if it lacked any proof of the store's state itself.

--- a/fleet/machine/runner.go
+++ b/fleet/machine/runner.go
@@ -27,6 +27,7 @@
 	Draining  bool          // the runner takes no new requests
 	LeavesIn  time.Duration // time until a runner that is taken away at short notice is gone; zero: unknown
 	Heartbeat int64         // grows with each entry that the runner writes after a start
+	Revision  int64         // of the store, at which the entry was written
 	Contents  Contents      // without Sequence, which entries do not state
 	HasEngine bool          // the entry is that of a model engine and states its contents
 }
@@ -97,6 +98,7 @@
 	authoritative bool          // this process leads the runner and has applied its report in this term
 	confirmedAt   clock.Instant // when the runner's report or its leader last stated the contents; zero: never
 	heartbeat     int64         // of the last entry applied
+	revision      int64         // of the store, at which that entry was written
 	ordersFrom    clock.Instant // no order loads a model before; zero: any time
 	missingSince  clock.Instant // end of the outage of the store in which the entry lapsed; zero: it has not
 }
@@ -134,7 +136,7 @@
 	r.Service, r.Address, r.Zone, r.Slots = a.Service, a.Address, a.Zone, a.Slots
 	r.Draining = a.Draining
 	r.Engine = r.Engine || a.HasEngine
-	r.missingSince, r.heartbeat = 0, a.Heartbeat
+	r.missingSince, r.heartbeat, r.revision = 0, a.Heartbeat, a.Revision
 	if a.LeavesIn > 0 {
 		r.LeavesAt = now.Add(a.LeavesIn)
 	}
@@ -272,9 +274,13 @@
 	return true
 }
 
-// MissingGrace is the time after an outage of the store at which a runner whose entry lapsed in it counts as gone. The
-// platform states about two seconds after the store's return as the time for entries to come back.
-const MissingGrace = 2500 * time.Millisecond
+// MissingGrace is the time after the earliest possible end of an outage of the store at which a runner whose entry lapsed in it
+// counts as gone. The platform states about two seconds after the store's return as the time for entries to come back, and three
+// as that after which nothing excuses a request to a runner that has left.
+const MissingGrace = 2800 * time.Millisecond
+
+// RenewedSince reports whether the runner wrote its last known entry after the given revision of the store.
+func (r *Runner) RenewedSince(revision int64) bool { return r.revision > revision }
 
 // MarkMissing records that a runner's entry lapsed during an outage of the store that ended at the given instant. The
 // runner stays usable for MissingGrace from then on, in which its entry can come back.
--- a/node/entry/feed.go
+++ b/node/entry/feed.go
@@ -17,6 +17,10 @@
 	maxFeedAge = watchWait + watchPause + 200*time.Millisecond
 	// maxAnswerAge is how long this VM remembers when it sent a report, to date the feed that answers it.
 	maxAnswerAge = 5 * time.Second
+	// minSharedOutage is the time for which a VM below a relay must have lacked any proof of the store's state for an outage that
+	// the relay reports to have been its own too. While the store is there, proofs come at least every maxFeedAge. Entries lapse
+	// after a longer silence than this.
+	minSharedOutage = 2 * time.Second
 )
 
 // storeFed tells the watch that a relay has passed on all changes up to a revision, and how long the watch may rest.
@@ -52,8 +56,8 @@
 	}
 	p.feedSent = r.changes.Position()
 	sinceOutage := time.Duration(0)
-	if r.outageEndedAt != 0 {
-		sinceOutage = p.heardAt.Sub(r.outageEndedAt)
+	if r.outage.EndedAt != 0 {
+		sinceOutage = p.heardAt.Sub(r.outage.EndedAt)
 	}
 	return &link.StoreFeed{
 		Era: from.Era, From: from.Revision, To: p.feedSent.Revision, Entries: entries, SinceOutage: sinceOutage,
@@ -80,8 +84,8 @@
 	}
 	change := decodeChange(entries)
 	change.position, change.sent = link.Position{Era: f.Era, Revision: f.To}, proof
-	if f.SinceOutage != 0 {
-		change.outageEndedAt = min(sentAt.Add(-f.SinceOutage), now)
+	if provedAt, _ := r.freshness.ConfirmedAt(); f.SinceOutage != 0 && proof.Sub(provedAt) >= minSharedOutage {
+		change.outage = link.Outage{EndedAt: min(sentAt.Add(-f.SinceOutage), now), Before: known}
 	}
 	change.apply(r, now)
 	if left := maxFeedAge - now.Sub(proof); left > 0 && r.feeds != nil {
--- a/node/entry/message.go
+++ b/node/entry/message.go
@@ -167,7 +167,7 @@
 	complete bool          // a full listing: what it does not name does not exist
 	sent     clock.Instant // when the call that returned them was sent
 
-	outageEndedAt clock.Instant // end of the store's last outage; zero: none. Entries that lapsed in it come back after it
+	outage link.Outage // the store's last one. Entries that lapsed in it come back after it
 }
 
 // runnerChange is a runner's new or changed entry, or its removal.
--- a/node/entry/routing.go
+++ b/node/entry/routing.go
@@ -58,7 +58,7 @@
 	manifestAt       link.Position        // of the last write of the manifest in force
 	changes          *link.ChangeLog      // of the store, as far as the VMs below need them
 	feeds            *ring.Ring[storeFed] // to the watch
-	outageEndedAt    clock.Instant        // end of the last outage of the store; zero: none
+	outage           link.Outage          // the last one of the store
 	runnersListed    bool                 // the list of runners has been read
 	fleet            *machine.Fleet
 	table            *link.Table
--- a/node/entry/storechanges.go
+++ b/node/entry/storechanges.go
@@ -13,7 +13,9 @@
 	if !r.enterEra(m.position.Era, now) {
 		return
 	}
-	r.outageEndedAt = max(r.outageEndedAt, m.outageEndedAt)
+	if m.outage.EndedAt > r.outage.EndedAt {
+		r.outage = m.outage
+	}
 	if m.complete {
 		r.changes.Restart(m.position)
 	}
@@ -125,12 +127,23 @@
 	return r.manifest.Version
 }
 
+// lapsed reports whether the entry of a runner that was removed may have lapsed in the last outage of the store. One that the
+// runner has renewed since the outage began has not: the runner has left.
+func (r *routing) lapsed(id machine.RunnerID, now clock.Instant) bool {
+	o := r.outage
+	if o.EndedAt == 0 || now.Sub(o.EndedAt) > machine.MissingGrace {
+		return false
+	}
+	runner := r.fleet.Get(id)
+	return runner == nil || !runner.RenewedSince(o.Before.Revision)
+}
+
 // applyRunner applies a runner's entry or its removal. An entry that lapsed in an outage of the store gets time to
 // return, counted from the end of the outage: one that is removed later has left.
 func (r *routing) applyRunner(change runnerChange, now clock.Instant) {
 	switch {
-	case change.gone && r.outageEndedAt != 0 && now.Sub(r.outageEndedAt) <= machine.MissingGrace:
-		r.fleet.MarkMissing(change.id, r.outageEndedAt)
+	case change.gone && r.lapsed(change.id, now):
+		r.fleet.MarkMissing(change.id, r.outage.EndedAt)
 	case change.gone:
 		if r.fleet.Remove(change.id, now) {
 			r.log.Info("runner gone", "runner", change.id, "reason", "entry removed")
--- a/node/entry/storeera.go
+++ b/node/entry/storeera.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math"
 	"time"
 
 	"github.com/mangopass/mangopass/duty/clock"
@@ -60,7 +61,8 @@
 		return true
 	}
 	r.era.unread = true
-	r.outageEndedAt = max(r.outageEndedAt, now) // entries that the copy lacks come back as after an outage
+	// Entries that the copy lacks come back as after an outage. Revisions don't tell which of them were renewed since.
+	r.outage = link.Outage{EndedAt: now, Before: link.Position{Era: era, Revision: math.MaxInt64}}
 	r.log.Warn("store restored", "era", era, "before", before, "known_up_to", r.changes.Position().Revision)
 	return true
 }
--- a/node/entry/watch.go
+++ b/node/entry/watch.go
@@ -10,6 +10,7 @@
 	"github.com/mangopass/mangopass/duty/clock"
 	"github.com/mangopass/mangopass/duty/ring"
 	"github.com/mangopass/mangopass/fleet/link"
+	"github.com/mangopass/mangopass/fleet/machine"
 	"github.com/mangopass/mangopass/platform"
 )
 
@@ -23,6 +24,11 @@
 	watchPause = 800 * time.Millisecond
 	// retryPause is the time between calls while the store does not answer.
 	retryPause = 250 * time.Millisecond
+	// probeTimeout limits the calls that find out whether the store is back. It is short, since what the VM does after an outage
+	// counts from the last call that failed.
+	probeTimeout = 500 * time.Millisecond
+	// returnPause replaces watchPause while the entries of runners come back after an outage.
+	returnPause = 100 * time.Millisecond
 	// maxGap is the longest time without an answer after which the watch goes on from the revision before.
 	maxGap = time.Second
 )
@@ -38,6 +44,7 @@
 	leftRecords *ring.Ring[streamRecord] // takes the records of streams that an earlier process of this VM has left
 
 	position   link.Position // the next watch continues from here; no revision: list everything first
+	known      link.Position // the last position read
 	answeredAt clock.Instant // last answer of the store; zero: none
 	outage     link.OutageTracker
 	available  bool
@@ -65,7 +72,7 @@
 			return true
 		}
 		if fed := buf[0]; w.position.Revision != 0 && fed.position.Era == w.position.Era && !fed.position.Before(w.position) {
-			w.position, w.answeredAt = fed.position, clock.Now()
+			w.position, w.known, w.answeredAt = fed.position, fed.position, clock.Now()
 			w.outage.Reset()
 			deadline = time.Now().Add(fed.rest)
 		}
@@ -74,6 +81,11 @@
 
 // poll makes one call to the store and passes the result to the routing duty. It returns the pause until the next call.
 func (w *watch) poll(ctx context.Context) time.Duration {
+	if !w.available && w.answeredAt != 0 {
+		if outcome, sent, err := w.probe(ctx); !outcome.Answered() {
+			return w.handleFailure(outcome, err, sent, probeTimeout)
+		}
+	}
 	sent := clock.Now()
 	complete := w.position.Revision == 0
 	var entries []platform.Entry
@@ -86,28 +98,51 @@
 		entries, position, outcome, err = w.store.Watch(ctx, "", w.position, watchWait)
 	}
 	if outcome != platform.Applied {
-		return w.handleFailure(outcome, err, clock.Now().Sub(sent))
+		return w.handleFailure(outcome, err, sent, watchWait+platform.StoreCallTimeout)
 	}
-	now := clock.Now()
-	w.outage.Answered(now)
-	w.answeredAt = now
+	w.answered()
+	w.answeredAt = clock.Now()
 	if !w.available {
 		w.available = true
-		w.log.Info("store available", "revision", position.Revision, "era", position.Era, "after_outage", w.outage.EndedAt() == now)
+		w.log.Info("store available", "revision", position.Revision, "era", position.Era)
 	}
-	w.position = position
+	w.position, w.known = position, position
 	if complete {
 		w.takeLeftRecords(entries)
 	}
 	change := decodeChange(entries)
 	change.complete, change.sent, change.position = complete, sent, position
-	change.outageEndedAt = w.outage.EndedAt()
+	change.outage = w.outage.Last()
 	_ = w.routing.Push(ctx, change) // fails only when the process stops
+	if ended := change.outage.EndedAt; ended != 0 && clock.Now().Sub(ended) < machine.MissingGrace {
+		return returnPause
+	}
 	return watchPause
 }
 
-// handleFailure takes note of a call that failed after the given time. It returns the pause until the next call.
-func (w *watch) handleFailure(outcome platform.Outcome, err error, took time.Duration) time.Duration {
+// probe reads one key to find out whether the store is back. It also returns when the call was sent.
+func (w *watch) probe(ctx context.Context) (platform.Outcome, clock.Instant, error) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	sent := clock.Now()
+	_, _, outcome, err := w.store.Get(ctx, platform.KeyManifest)
+	if outcome.Answered() {
+		w.answered()
+	}
+	return outcome, sent, err
+}
+
+// answered takes note of an answer of the store.
+func (w *watch) answered() {
+	if w.outage.Answered() {
+		last := w.outage.Last()
+		w.log.Info("store outage over", "ended_ms_ago", clock.Now().Sub(last.EndedAt).Milliseconds(),
+			"known_up_to", last.Before.Revision)
+	}
+}
+
+// handleFailure takes note of a call that was sent at the given instant and failed. It returns the pause until the next call.
+func (w *watch) handleFailure(outcome platform.Outcome, err error, sent clock.Instant, timeout time.Duration) time.Duration {
 	switch outcome {
 	case platform.Compacted:
 		w.log.Info("store history lost", "revision", w.position.Revision, "era", w.position.Era)
@@ -118,7 +153,7 @@
 		w.position = link.Position{}
 		return 0
 	}
-	w.outage.Failed(took, watchWait+platform.StoreCallTimeout, retryPause)
+	w.outage.Failed(link.FailedCall{Sent: sent, Ended: clock.Now(), Timeout: timeout, Pause: retryPause, Known: w.known})
 	if w.available {
 		w.available = false
 		w.log.Warn("store unavailable", "outcome", outcome.String(), "error", errorText(err))
--- a/standin/soak/plan.go
+++ b/standin/soak/plan.go
@@ -28,6 +28,7 @@
 	LinkReset     Kind = "link_reset"     // connections are reset as soon as they carry bytes
 	LinkSilent    Kind = "link_silent"    // bytes are held back both ways
 	LinkCut       Kind = "link_cut"       // what the entry VM is to get is held back
+	LinkLost      Kind = "link_lost"      // connections that carry bytes meanwhile stay silent for good; not drawn in plans
 	RunnerResets  Kind = "runner_resets"
 	RunnerSheds   Kind = "runner_sheds"
 	RunnerHangs   Kind = "runner_hangs"
--- a/standin/soak/proxy.go
+++ b/standin/soak/proxy.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -26,6 +27,7 @@
 
 	mu    sync.Mutex
 	fault Kind // empty: none
+	lost  int  // pieces of data that LinkLost has dropped
 }
 
 // NewProxy starts a proxy in front of an address, as a duty of the group.
@@ -55,6 +57,23 @@
 	return p.fault
 }
 
+// Lost returns the number of pieces of data that LinkLost has dropped.
+func (p *Proxy) Lost() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.lost
+}
+
+// drops reports whether the link has lost a piece of data.
+func (p *Proxy) drops() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.fault == LinkLost {
+		p.lost++
+	}
+	return p.fault == LinkLost
+}
+
 // serve forwards one connection until either side closes it.
 func (p *Proxy) serve(client net.Conn) {
 	server, err := net.Dial("tcp", p.target)
@@ -62,18 +81,23 @@
 		return
 	}
 	directions := duty.NewGroup(context.Background())
-	directions.Go("requests", func(context.Context) { p.forward(server, client, false) })
-	p.forward(client, server, true)
+	lost := &atomic.Bool{}
+	directions.Go("requests", func(context.Context) { p.forward(server, client, lost, false) })
+	p.forward(client, server, lost, true)
 	_ = server.Close()
 	_ = client.Close()
 	directions.Stop()
 }
 
-// forward copies data in one direction. answers says that it comes from the server.
-func (p *Proxy) forward(to, from net.Conn, answers bool) {
+// forward copies data in one direction until the connection is lost. answers says that it comes from the server.
+func (p *Proxy) forward(to, from net.Conn, lost *atomic.Bool, answers bool) {
 	buf := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buf)
+		if n > 0 && (lost.Load() || p.drops()) {
+			lost.Store(true)
+			n = 0
+		}
 		if n > 0 && !p.pass(to, buf[:n], answers) {
 			return
 		}
