Let a new process earn its extra retries, and count a retry when it is sent

Cause: each process began with an empty window and could spend its VM's whole part of the extra retries, or all of them before it knew its peers. VMs that left no longer counted at once. A retry counted when it was decided on, and reached the runner up to seconds later, in the next window.

Change: the extra retries are a token bucket that starts empty; half of the part can be saved up, half becomes available over the window, so any row of processes stays within the part. VMs that left in the window count as sharing it. Retries are reserved, counted when sent, and given back otherwise.

Process tests wait 2.5 s for the first retries.

--- a/cmd/processtest/setup_test.go
+++ b/cmd/processtest/setup_test.go
@@ -115,7 +115,10 @@
 		deskSpec("desk-0"), deskSpec("desk-1"))
 }
 
-// startWith starts entry VMs and the given runners, and waits until the VMs are ready. When the test has failed, it logs the end
+// firstRetries is the time after the start of an entry VM in which it earns two retries, of which it has none at first.
+const firstRetries = 2500 * time.Millisecond
+
+// startWith starts entry VMs and the given runners, and waits until the VMs are ready and may retry requests. When the test has failed, it logs the end
 // of their logs.
 func startWith(t *testing.T, entries int, runners ...runner.Spec) *deploy.Deployment {
 	t.Helper()
@@ -137,6 +140,7 @@
 	if err := d.AwaitReady(); err != nil {
 		t.Fatal(err)
 	}
+	time.Sleep(firstRetries)
 	return d
 }
 
--- a/node/entry/admission.go
+++ b/node/entry/admission.go
@@ -146,12 +146,26 @@
 func (r *routing) retryBudget(s contract.ServiceName) *link.RetryBudget {
 	b := r.retryBudgets[s]
 	if b == nil {
-		b = link.NewRetryBudget(r.budgetRule())
+		b = link.NewRetryBudget(r.budgetRule(), r.startedAt)
 		r.retryBudgets[s] = b
 	}
 	return b
 }
 
+// reserveRetryOf reserves a retry of a call from its service's budget, and reports whether there was one.
+func (r *routing) reserveRetryOf(c *call, now clock.Instant) bool {
+	c.retry = r.retryBudget(c.service).Reserve(r.members.sharing(r.rules.RetryWindow(), now), now)
+	return c.retry != link.NoRetry
+}
+
+// releaseRetry gives back the retry that was reserved for a call which ends without it.
+func (r *routing) releaseRetry(c *call) {
+	if c.retry != link.NoRetry {
+		r.retryBudget(c.service).Release(c.retry)
+		c.retry = link.NoRetry
+	}
+}
+
 // recordDemand adds a new call to the demand for its model. Calls of plain services name no model and are not counted.
 func (r *routing) recordDemand(c *call) {
 	if c.artifact.Model == "" {
@@ -258,6 +272,8 @@
 func (r *routing) send(c *call, choice link.Choice, now clock.Instant) {
 	r.stopWaiting(c)
 	c.sends++
+	r.retryBudget(c.service).Sent(c.retry, now)
+	c.retry = link.NoRetry
 	runner := choice.Runner
 	route := c.admitted.Route
 	a := attempt{
@@ -320,6 +336,7 @@
 // refuse ends a call without a runner's answer. The cost of a call that was never sent is refunded to its quota.
 func (r *routing) refuse(c *call, refusal *contract.Refusal, now clock.Instant) {
 	r.stopWaiting(c)
+	r.releaseRetry(c)
 	if c.cost > 0 && c.sends == 0 {
 		r.quota(c.admitted.Organisation, now).Refund(c.cost, now)
 		c.cost = 0
@@ -342,6 +359,7 @@
 func (m callCancelled) apply(r *routing, now clock.Instant) {
 	c := m.call
 	r.stopWaiting(c)
+	r.releaseRetry(c)
 	c.originUntil = 0
 	delete(r.inFlight, c)
 	if d, pending := c.decisions.TryPop(); pending && d.refusal == nil {
--- a/node/entry/attempts.go
+++ b/node/entry/attempts.go
@@ -61,6 +61,7 @@
 		c.runs++
 	}
 	if m.final {
+		r.releaseRetry(c)
 		r.metrics.request.WithLabelValues(m.result.String()).Observe(now.Sub(c.request.Arrived).Seconds())
 		if m.result == resultCallerGone || m.untaken {
 			r.noteCut(c, cutCallerGone, now)
@@ -117,11 +118,11 @@
 	}
 }
 
-// retry dispatches a call again after a failed attempt, or refuses it. Each retry is taken from the service's retry
-// budget unless the runner could not be reached.
+// retry dispatches a call again after a failed attempt, or refuses it. Each retry is reserved from the service's retry
+// budget, in which it counts when it is sent, unless the runner could not be reached.
 func (r *routing) retry(c *call, m attemptEnded, now clock.Instant) {
-	route, taken := c.admitted.Route, c.retryTaken
-	c.retryTaken, c.givenUp = false, c.givenUp || taken
+	route, reserved := c.admitted.Route, c.retry != link.NoRetry
+	c.givenUp = c.givenUp || reserved
 	switch {
 	case m.result == resultTimeout:
 		r.abandon(c, cutDeadline, contract.Failed(contract.DeadlineExceeded, "no answer within the deadline"), now)
@@ -156,8 +157,7 @@
 		r.refuseWithCode(c, cutSends, contract.RunnerFailed, "the request was sent too often", now)
 		return
 	}
-	mayRetry := taken || m.result == resultUnreachable || r.retryBudget(c.service).Take(r.members.count(), now)
-	if !mayRetry {
+	if !reserved && m.result != resultUnreachable && !r.reserveRetryOf(c, now) {
 		r.refuseWithCode(c, cutRetryBudget, contract.RunnerFailed, "the retry budget is spent", now)
 		return
 	}
--- a/node/entry/members.go
+++ b/node/entry/members.go
@@ -79,6 +79,7 @@
 
 // members is what this VM knows of the other entry VMs.
 type members struct {
+	left      map[string]clock.Instant // when peers left that may have used parts of the limits; by name
 	peers     map[string]*peer
 	sequence  uint64                   // of the last report to any peer
 	series    int64                    // the last one given to a peer; each starts after the process's boot
@@ -102,6 +103,21 @@
 // count returns the number of entry VMs, this one included.
 func (m *members) count() int { return 1 + len(m.peers) }
 
+// sharing returns the number of entry VMs that may have used a limit in the window before now, this one included. One that has left
+// may have used its part before.
+func (m *members) sharing(window time.Duration, now clock.Instant) int {
+	n := m.count()
+	for name, at := range m.left {
+		switch {
+		case now.Sub(at) > window:
+			delete(m.left, name)
+		case m.peers[name] == nil:
+			n++
+		}
+	}
+	return n
+}
+
 // silenceLimit returns the time without a report after which a peer counts as unreachable.
 func (m *members) silenceLimit() time.Duration {
 	return max(minSilenceLimit, minMissedReports*reportPeriod*m.periodFactor())
@@ -252,5 +268,6 @@
 	p.stopLink()
 	r.setRole(name, p, link.Unrelated, now)
 	delete(r.members.peers, name)
+	r.members.left[name] = now
 	r.log.Info("peer gone", "peer", name, "silent_ms", now.Sub(p.heardAt).Milliseconds(), "peers", len(r.members.peers))
 }
--- a/node/entry/message.go
+++ b/node/entry/message.go
@@ -45,10 +45,10 @@
 	pinned      bool                    // its stream has begun and goes on only at runners of version
 	version     machine.SoftwareVersion // that began the stream
 
-	retryTaken bool       // the retry after the attempt in progress has been taken from the retry budget
-	reserved   *attempt   // counts as sent to a runner until the attempt in progress has ended; nil: none
-	suspected  bool       // the runner of the attempt in progress has been silent, which counts as a failure
-	kept       keptReason // why that attempt was not given up, as logged last
+	retry     link.ReservedRetry // for the next attempt
+	reserved  *attempt           // counts as sent to a runner until the attempt in progress has ended; nil: none
+	suspected bool               // the runner of the attempt in progress has been silent, which counts as a failure
+	kept      keptReason         // why that attempt was not given up, as logged last
 }
 
 // decision is the routing duty's reply to a new call or a failed attempt: another attempt or a refusal.
--- a/node/entry/routing.go
+++ b/node/entry/routing.go
@@ -44,10 +44,11 @@
 	intake        *ring.Ring[message]
 	rand          *rand.Rand
 	lastTick      clock.Instant
-	tickPending   bool         // messages were applied too soon after the last tick for another one
-	ready         atomic.Bool  // read by the readiness probe
-	bodyLimit     atomic.Int64 // bytes; read by the front ends
-	viewed        atomic.Int64 // instant of viewedAt; read by the goroutines of requests
+	tickPending   bool          // messages were applied too soon after the last tick for another one
+	ready         atomic.Bool   // read by the readiness probe
+	bodyLimit     atomic.Int64  // bytes; read by the front ends
+	startedAt     clock.Instant // of this process
+	viewed        atomic.Int64  // instant of viewedAt; read by the goroutines of requests
 	stopping      bool
 	stopWaitUntil clock.Instant // in a planned stop: from then on no call waits for a replica
 
@@ -85,7 +86,7 @@
 func newRouting(s *settings.Entry, boot int64, log *slog.Logger, m *entryMetrics) *routing {
 	random := rand.New(rand.NewPCG(uint64(boot), uint64(len(s.ID))))
 	r := &routing{
-		node: s.ID, address: s.AdvertisedAddress(), zone: zone.ID(s.Zone), boot: boot, rules: s.Rules, log: log, metrics: m,
+		startedAt: clock.Now(), node: s.ID, address: s.AdvertisedAddress(), zone: zone.ID(s.Zone), boot: boot, rules: s.Rules, log: log, metrics: m,
 		cuts: cutLog{log: log, counter: m.cutAnswers},
 		rand: random, intake: ring.New[message]("routing", intakeCapacity),
 		freshness: link.NewFreshness(freshnessBound(s.Rules)), changes: link.NewChangeLog(), fleet: machine.NewFleet(),
@@ -102,6 +103,7 @@
 	for k := range r.leader.shards {
 		r.leader.shards[k].holderKey.gone = true
 	}
+	r.members.left = make(map[string]clock.Instant)
 	r.members.peers, r.members.relay, r.members.planner = make(map[string]*peer), r.node, r.node
 	r.era.newest = noEra
 	r.members.series, r.members.sentAt = boot, make(map[uint64]clock.Instant)
--- a/node/entry/silence.go
+++ b/node/entry/silence.go
@@ -106,12 +106,12 @@
 	}
 }
 
-// reserveRetry takes a retry of a call from its service's budget before the attempt in progress ends, if another runner can go
+// reserveRetry reserves a retry of a call from its service's budget before the attempt in progress ends, if another runner can go
 // on with the call in time and it may be sent again. Until the attempt has ended, the call counts there as sent, so that the
 // next one sees it. It returns why it has not done so, or notKept.
 func (r *routing) reserveRetry(c *call, a attempt, progress, now clock.Instant) keptReason {
 	route := c.admitted.Route
-	if c.retryTaken || !route.Repeatable() || c.runs+1 >= route.MaxAttempts || c.sends >= maxSends {
+	if c.retry != link.NoRetry || !route.Repeatable() || c.runs+1 >= route.MaxAttempts || c.sends >= maxSends {
 		return noAttemptLeft
 	}
 	requirements := r.requirements(c, now)
@@ -120,10 +120,9 @@
 	if !ok || !r.canGoOn(c, next, progress, now) {
 		return noOther
 	}
-	if !r.retryBudget(c.service).Take(r.members.count(), now) {
+	if !r.reserveRetryOf(c, now) {
 		return noBudget
 	}
-	c.retryTaken = true
 	c.reserved = &attempt{
 		runner: next.Runner.ID, boot: next.Runner.Boot, artifact: c.artifact, prefill: next.Prefill, timely: next.Timely,
 	}
