node/entry: Name the two reservations of a retry apart

reserveRetry and reserveRetryOf differed by a suffix. reserveContinuation now reserves a retry, and a place at the next runner, for an attempt that is still in progress; reserveRetry is the plain reservation. No change of behaviour; the tests of node/entry pass.

--- a/node/entry/admission.go
+++ b/node/entry/admission.go
@@ -152,8 +152,8 @@
 	return b
 }
 
-// reserveRetryOf reserves a retry of a call from its service's budget, and reports whether there was one.
-func (r *routing) reserveRetryOf(c *call, now clock.Instant) bool {
+// reserveRetry reserves a retry of a call from its service's budget, and reports whether there was one.
+func (r *routing) reserveRetry(c *call, now clock.Instant) bool {
 	c.retry = r.retryBudget(c.service).Reserve(r.members.sharing(r.rules.RetryWindow(), now), now)
 	return c.retry != link.NoRetry
 }
--- a/node/entry/attempts.go
+++ b/node/entry/attempts.go
@@ -157,7 +157,7 @@
 		r.refuseWithCode(c, cutSends, contract.RunnerFailed, "the request was sent too often", now)
 		return
 	}
-	if !reserved && m.result != resultUnreachable && !r.reserveRetryOf(c, now) {
+	if !reserved && m.result != resultUnreachable && !r.reserveRetry(c, now) {
 		r.refuseWithCode(c, cutRetryBudget, contract.RunnerFailed, "the retry budget is spent", now)
 		return
 	}
--- a/node/entry/cut_test.go
+++ b/node/entry/cut_test.go
@@ -82,7 +82,7 @@
 		"given up for silence, and the next attempt broke off": {
 			engines: 2, before: func(h *harness, c *call, _ attempt) {
 				c.runs = 1
-				h.reserveRetryOf(c, h.now)
+				h.reserveRetry(c, h.now)
 			}, result: resultBroken,
 			want: cutSilence, by: bySystem,
 		},
--- a/node/entry/silence.go
+++ b/node/entry/silence.go
@@ -93,7 +93,7 @@
 	}
 	silent, kept := m.at.Sub(m.since), mayGoOn
 	if silent >= a.keptFor(m.started) {
-		kept = r.reserveRetry(c, a, m.progress, now)
+		kept = r.reserveContinuation(c, a, m.progress, now)
 	}
 	if kept == c.kept && kept != notKept {
 		return
@@ -106,10 +106,10 @@
 	}
 }
 
-// reserveRetry reserves a retry of a call from its service's budget before the attempt in progress ends, if another runner can go
+// reserveContinuation reserves a retry of a call from its service's budget before the attempt in progress ends, if another runner can go
 // on with the call in time and it may be sent again. Until the attempt has ended, the call counts there as sent, so that the
 // next one sees it. It returns why it has not done so, or notKept.
-func (r *routing) reserveRetry(c *call, a attempt, progress, now clock.Instant) keptReason {
+func (r *routing) reserveContinuation(c *call, a attempt, progress, now clock.Instant) keptReason {
 	route := c.admitted.Route
 	if c.retry != link.NoRetry || !route.Repeatable() || c.runs+1 >= route.MaxAttempts || c.sends >= maxSends {
 		return noAttemptLeft
@@ -120,7 +120,7 @@
 	if !ok || !r.canGoOn(c, next, progress, now) {
 		return noOther
 	}
-	if !r.reserveRetryOf(c, now) {
+	if !r.reserveRetry(c, now) {
 		return noBudget
 	}
 	c.reserved = &attempt{
