cmd/processtest: Limit the subtests that run at a time

Traced in its log: ten deployments with 800 endless writers ran at a time and starved each other and the store; the VM had not reached the store for 6 s. Checks and bounds are the same.

--- a/cmd/processtest/crashingrequest_test.go
+++ b/cmd/processtest/crashingrequest_test.go
@@ -18,6 +18,7 @@
 // is sent again and again, to all entry VMs in turn: of plain services too, and streams that crash their engine after some events.
 // Once it has crashed three runners it must be refused at once, also by VMs that start later, and sound requests be served.
 func TestRequestThatCrashesRunnersIsRefused(t *testing.T) {
+	begin := limitParallel(2)
 	for name, c := range map[string]struct {
 		path, model string
 		after       int // events before the crash
@@ -30,7 +31,7 @@
 		"stream that can't be resumed":      {path: "/draft/1", model: "tulip", after: 1},
 	} {
 		t.Run(name, func(t *testing.T) {
-			t.Parallel()
+			begin(t)
 			d := startCrashing(t, c.after)
 			send := func(i int, body string) response {
 				return call(t, t.Context(), d.Entries[i%2].Callers, request{
--- a/cmd/processtest/setup_test.go
+++ b/cmd/processtest/setup_test.go
@@ -144,6 +144,17 @@
 	return d
 }
 
+// limitParallel lets at most n parallel subtests of a test run at a time: each starts processes of its own, which starve each
+// other on a busy machine.
+func limitParallel(n int) (begin func(t *testing.T)) {
+	running := make(chan struct{}, n)
+	return func(t *testing.T) {
+		t.Parallel()
+		running <- struct{}{}
+		t.Cleanup(func() { <-running })
+	}
+}
+
 // tail returns the last lines of a log.
 func tail(log string, lines int) string {
 	all := strings.Split(log, "\n")
