review/7: Show the rejected manifest with a split of 99.5 and 0.5

Cause: the first form of the case rested on how a time-out is written; weights with a fraction are a plainer change. Done: the script splits a route, the claim names both.

--- a/review/rig-2/cmd/case7/main.go
+++ b/review/rig-2/cmd/case7/main.go
@@ -1,4 +1,4 @@
-// Command case7 takes a key away by a manifest that also writes a time-out as 1500.0 instead of 1500.
+// Command case7 takes a key away by a manifest that also splits a route, with weights of 99.5 and 0.5.
 package main
 
 import (
@@ -14,17 +14,18 @@
 	secondKey = "t4kq81yy6c0az5mrpe2w"
 )
 
-// manifest returns a manifest whose tenant has the given keys, with the given text of a time-out.
-func manifest(version int, timeout, keys string) string {
+// manifest returns a manifest whose tenant has the given keys, and one of whose routes is split with the given weights.
+func manifest(version int, old, next, keys string) string {
 	return fmt.Sprintf(`{"version":%d,"routes":[`+
-		`{"name":"order-confirm","host":"%[2]s","prefix":"/puxa403/","kind":"unsafe","timeout_ms":%[3]s,"target_latency_ms":100,`+
-		`"priority":2,"service":"order-desk","max_attempts":1,"public":false},`+
+		`{"name":"order-confirm","host":"%[2]s","prefix":"/puxa403/","kind":"unsafe","timeout_ms":1500,"target_latency_ms":100,`+
+		`"priority":2,"backends":[{"service":"order-desk","weight":%[3]s},{"service":"order-desk-2","weight":%[4]s}],`+
+		`"max_attempts":1,"public":false},`+
 		`{"name":"stock-check","host":"%[2]s","prefix":"/cufi504/","kind":"safe","timeout_ms":1500,"target_latency_ms":100,`+
 		`"priority":2,"service":"order-desk","max_attempts":2,"public":false}],`+
-		`"services":[{"name":"order-desk","health_path":"/health"}],`+
+		`"services":[{"name":"order-desk","health_path":"/health"},{"name":"order-desk-2","health_path":"/health"}],`+
 		`"limits":{"header_bytes":16384,"body_bytes":4194304,"header_ms":3000,"idle_ms":15000},`+
-		`"tenants":[{"name":"hule930","keys":%[4]s,"unit":"tokens","plain_tokens":200,"rate_per_s":0,"burst":0}]}`,
-		version, rig.Host, timeout, keys)
+		`"tenants":[{"name":"hule930","keys":%[5]s,"unit":"tokens","plain_tokens":200,"rate_per_s":0,"burst":0}]}`,
+		version, rig.Host, old, next, keys)
 }
 
 func main() {
@@ -32,8 +33,9 @@
 	c.StartStore()
 	runners := []string{
 		c.StartRunner("i-1", "order-desk", 15*time.Millisecond), c.StartRunner("i-2", "order-desk", 15*time.Millisecond),
+		c.StartRunner("i-3", "order-desk-2", 15*time.Millisecond),
 	}
-	c.PutManifest(manifest(7, "1200", `["`+firstKey+`","`+secondKey+`"]`))
+	c.PutManifest(manifest(7, "100", "0", `["`+firstKey+`","`+secondKey+`"]`))
 	entries := []*rig.Entry{c.StartEntry("front-dl-a-1"), c.StartEntry("front-dl-a-2")}
 	for _, e := range entries {
 		c.AwaitReady(e)
@@ -57,11 +59,11 @@
 	}
 	send("both keys held")
 
-	timeout := "1500"
+	old, next := "99", "1"
 	if c.Trouble {
-		timeout = "1500.0"
+		old, next = "99.5", "0.5"
 	}
-	gone := c.PutManifest(manifest(9, timeout, `["`+secondKey+`"]`))
+	gone := c.PutManifest(manifest(9, old, next, `["`+secondKey+`"]`))
 	time.Sleep(rig.RevokeTime + time.Second)
 	for range 3 {
 		send("first key gone")
--- a/review/rig-2/rig/rig.go
+++ b/review/rig-2/rig/rig.go
@@ -245,6 +245,11 @@
 
 // Send sends a request of a requester to an entry VM, on a new connection. An empty key: none is sent.
 func (c *Case) Send(e *Entry, method, path, key, body string) Answer {
+	return c.SendWithin(e, method, path, key, body, 1500)
+}
+
+// SendWithin does the same for a requester that states how long it waits.
+func (c *Case) SendWithin(e *Entry, method, path, key, body string, deadlineMs int) Answer {
 	c.mu.Lock()
 	c.last++
 	a := Answer{ID: fmt.Sprintf("%016x", c.last), Sent: time.Now()}
@@ -253,7 +258,7 @@
 	c.Must(err)
 	req.Host = Host
 	req.Header.Set("X-Mangopass-Request-Id", a.ID)
-	req.Header.Set("X-Mangopass-Deadline", "1500")
+	req.Header.Set("X-Mangopass-Deadline", fmt.Sprint(deadlineMs))
 	if key != "" {
 		req.Header.Set("Api-Key", key)
 	}
