--- a/review/rig-2/rig/rig.go
+++ b/review/rig-2/rig/rig.go
@@ -162,18 +162,21 @@
 }
 
 // StartEntry starts an entry VM with settings as deploy/settings.json.tmpl makes them.
-func (c *Case) StartEntry(name string) *Entry {
+func (c *Case) StartEntry(name string) *Entry { return c.StartEntryIn(name, "dl-a") }
+
+// StartEntryIn does the same in a zone of the region.
+func (c *Case) StartEntryIn(name, zone string) *Entry {
 	e := &Entry{Name: name, Callers: c.address(), Ready: c.address(), Settings: filepath.Join(c.dir, name+".json")}
 	port := c.FreePort()
 	settings, err := json.MarshalIndent(map[string]any{
-		"id": name, "ip": "127.0.0.1", "zone": "dl-a", "ports": []int{port, port + 1}, "store": c.store,
+		"id": name, "ip": "127.0.0.1", "zone": zone, "ports": []int{port, port + 1}, "store": c.store,
 		"listen": map[string]string{"callers": e.Callers, "ready": e.Ready, "metrics": c.address()},
 		"rules": map[string]any{
 			"revoke_ms": 5000, "grace_s": 8, "lease_ms": 3000, "min_lease_ms": 1000, "retry_ratio": 0.2, "retry_extra": 54,
 			"retry_window_s": 10, "quota_over": 0.1, "quota_slack": 72000, "quota_window_s": 8,
 		},
 		"limits": map[string]int{"memory_mb": 284, "max_fds": 4100},
-		"zones":  map[string]string{"dl-a": "lam-dong"},
+		"zones":  map[string]string{"dl-a": "lam-dong", "dl-b": "lam-dong", "dl-c": "lam-dong", "dl-d": "lam-dong"},
 	}, "", " ")
 	c.Must(err)
 	c.Must(os.WriteFile(e.Settings, settings, 0o600))
