platform: A reset during an upload is not the end of the answer

What callers saw: 200 and a complete answer, of which the runner had sent only a part. It had answered before it had read the long request, without a length, and reset the connection while the request was being written.

Cause: an answer without a length ends with its connection. The kernel keeps the error of a reset until one call has got it; if that is the write of the request, the read of the answer gets the same result as for an orderly end.

--- a/cmd/processtest/answertest/answers_test.go
+++ b/cmd/processtest/answertest/answers_test.go
@@ -1,11 +1,13 @@
 package answertest
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 )
 
 // brokenAnswers are what runners write to a request, in place of an answer to it.
@@ -37,3 +39,44 @@
 		}
 	}
 }
+
+// TestResetDuringUploadBreaksAnswerOff guards callers against a part of an answer that passes for a whole one: the runner answers
+// without a length before it has read the request, and resets the connection while the request is still being written.
+func TestResetDuringUploadBreaksAnswerOff(t *testing.T) {
+	const uploads = 20
+	upload := strings.Repeat("u", maxBodyBytes-1<<10)
+	d, e := start(t)
+	for service, part := range map[string]string{
+		"desk": okHead + "\r\npart", "engines": okHead + "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: x\n\n",
+	} {
+		startRunner(t, d, service+"-0", service, func(conn *net.TCPConn, r *http.Request) {
+			_, _ = io.WriteString(conn, strings.ReplaceAll(part, "ID", r.Header.Get("X-Mangopass-Request-Id")))
+			time.Sleep(20 * time.Millisecond) // the VM reads the answer and writes the request meanwhile
+			_ = conn.SetLinger(0)
+			_ = conn.Close()
+		})
+	}
+	for name, c := range map[string]struct {
+		route string
+		api   bool
+		lines []string
+	}{
+		"body":      {route: "confirm"},
+		"body, API": {route: "confirm", api: true},
+		"stream":    {route: "draft", lines: []string{"X-Mangopass-Model: lily", "X-Mangopass-Token-Count: 40,24"}},
+	} {
+		whole := 0
+		for i := range uploads {
+			got := e.post(t, c.route, c.api, fmt.Sprint(i, upload), c.lines...)
+			switch {
+			case got.status == http.StatusOK && got.err == nil:
+				whole++
+			case got.status != http.StatusOK && got.status != http.StatusBadGateway:
+				t.Errorf("%s: the caller got %v, want status 502 or an answer that is cut off", name, got)
+			}
+		}
+		if whole > 0 {
+			t.Errorf("%s: %d of %d answers that were reset reached the caller as whole ones", name, whole, uploads)
+		}
+	}
+}
