standin: Runners in trouble also send heads that are not valid HTTP

Cause: the soak spoiled answers in four ways, none of which was a head that net/http accepts and HTTP does not have. Change: status 000 with the mark "not executed", and a blank in the name of the transfer encoding.

--- a/standin/runner/garble.go
+++ b/standin/runner/garble.go
@@ -13,7 +13,9 @@
 	cutOffHead
 	secondAnswer // after the whole one, to another request
 	headWithoutEnd
-	garbleWays // number of them
+	invalidStatus
+	blankInName // the encoding of the body does not count then
+	garbleWays  // number of them
 )
 
 // endlessHead is the number of bytes of a head without end after which the runner gives up.
@@ -50,6 +52,10 @@
 		for n := 0; n < endlessHead && write(line); n += len(line) {
 			continue
 		}
+	case invalidStatus:
+		write(strings.Replace(head, "200 OK", "000", 1) + "X-Mangopass-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+	case blankInName:
+		write(head + "Transfer-Encoding : chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n")
 	}
 }
 
--- a/standin/soak/plan.go
+++ b/standin/soak/plan.go
@@ -43,7 +43,8 @@
 	AllKilled Kind = "all_entries_killed"
 	// RunnerReleased starts a runner again with another software version and without models.
 	RunnerReleased Kind = "runner_released"
-	// RunnerGarbles spoils answers: an earlier refusal in their place, heads that are cut off or without end, a second answer.
+	// RunnerGarbles spoils answers: an earlier refusal in their place, heads that are cut off, without end or not
+	// valid HTTP, a second answer.
 	RunnerGarbles Kind = "runner_garbles"
 	// ZoneEvacuated is the evacuation of a zone, which is taken back at the end.
 	ZoneEvacuated Kind = "zone_evacuated"
