platform: "Not executed" beside a success or a redirect is no promise

What callers saw: 503, which promises that the request has not run, for a runner's 200, 204, 301 or 101 with the mark; another runner, if there was one, got the request as well.

Cause: newAnswer looked at the mark before the status. Such an answer doesn't count, but its head was believed.

--- a/cmd/processtest/answertest/answers_test.go
+++ b/cmd/processtest/answertest/answers_test.go
@@ -15,6 +15,7 @@
 	"status 000":               "HTTP/1.1 000 \r\n" + ownHeaders + "Content-Length: 2\r\n\r\nok",
 	"status 000, not executed": "HTTP/1.1 000 \r\n" + ownHeaders + "X-Mangopass-Not-Executed: 1\r\nContent-Length: 2\r\n\r\nok",
 	"status 999":               "HTTP/1.1 999 Odd\r\n" + ownHeaders + "Content-Length: 2\r\n\r\nok",
+	"status 200, not executed": okHead + "X-Mangopass-Not-Executed: 1\r\nContent-Length: 2\r\n\r\nok",
 	"blank in a name":          okHead + "X Odd: 1\r\nContent-Length: 2\r\n\r\nok",
 	"blank after a name":       okHead + "Transfer-Encoding : chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
 	"blank after a length":     okHead + "Content-Length : 2\r\n\r\nok, and bytes that belong to no answer",
