node/rpclink: Test replies of peers that break off

Change: a test that cuts a reply at each byte, by an orderly end and by a reset, and sends bytes that are no reply. The code held: messages have lengths. No product code changes.

--- a/node/rpclink/rpclink_test.go
+++ b/node/rpclink/rpclink_test.go
@@ -1,6 +1,7 @@
 package rpclink
 
 import (
+	"bytes"
 	"encoding/gob"
 	"io"
 	"net"
@@ -154,3 +155,45 @@
 		})
 	}
 }
+
+// TestBrokenReplyIsNotTaken guards against a report that counts as delivered though the peer's reply broke off, by the end of the
+// connection or by a reset, or was no reply.
+func TestBrokenReplyIsNotTaken(t *testing.T) {
+	var reply bytes.Buffer
+	encoder := gob.NewEncoder(&reply)
+	if err := errors.CombineErrors(encoder.Encode(rpc.Response{ServiceMethod: "Echo.Size"}), encoder.Encode(1)); err != nil {
+		t.Fatal(err)
+	}
+	address := listen(t, func(conn net.Conn) {
+		t.Cleanup(func() { _ = conn.Close() })
+		_, _ = conn.Write(reply.Bytes())
+	})
+	link := New(address)
+	defer link.Close()
+	var size int
+	if err := link.Call(t.Context(), 5*time.Second, "Echo.Size", []byte{}, &size); err != nil || size != 1 {
+		t.Fatalf("size %d, error %v of a whole reply", size, err)
+	}
+	replies := []string{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", strings.Repeat("\x00", 100), strings.Repeat("\x7f", 200)}
+	for n := range reply.Len() {
+		replies = append(replies, reply.String()[:n])
+	}
+	for _, text := range replies {
+		for _, resets := range []bool{false, true} {
+			address := listen(t, func(conn net.Conn) {
+				_, _ = conn.Read(make([]byte, 1))
+				_, _ = io.WriteString(conn, text)
+				if resets {
+					_ = conn.(*net.TCPConn).SetLinger(0)
+				}
+				_ = conn.Close()
+			})
+			link := New(address)
+			var size int
+			if err := link.Call(t.Context(), 5*time.Second, "Echo.Size", make([]byte, 1<<20), &size); !errors.Is(err, ErrOutcomeUnknown) {
+				t.Errorf("reply %q, reset %v: error %v, want one of unknown outcome", text, resets, err)
+			}
+			link.Close()
+		}
+	}
+}
