cmd/processtest/answertest: Test a reset during the upload of a chat

Cause: TestResetDuringUploadBreaksAnswerOff plays bodies at both front ends and streams at the platform's, but no chat of our own front end. One that is longer than the buffers of a connection was refused: with 429, since it was over the quota of the test's organisation, or with 503, since the VM had not yet seen that the engine answers long prompts in time.

Change: TestResetDuringUploadOfChatBreaksAnswerOff sends chats that grow to 8 MiB.

--- a/cmd/processtest/answertest/answers_test.go
+++ b/cmd/processtest/answertest/answers_test.go
@@ -41,6 +41,19 @@
 	}
 }
 
+// firstEvent is a stream that has no length, up to its first event.
+const firstEvent = okHead + "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: x\n\n"
+
+// resetAfter returns a runner that sends a part of an answer before it has read the request, and resets the connection.
+func resetAfter(part string) func(conn *net.TCPConn, r *http.Request) {
+	return func(conn *net.TCPConn, r *http.Request) {
+		_, _ = io.WriteString(conn, strings.ReplaceAll(part, "ID", r.Header.Get("X-Mangopass-Request-Id")))
+		time.Sleep(20 * time.Millisecond) // the VM reads the answer and writes the request meanwhile
+		_ = conn.SetLinger(0)
+		_ = conn.Close()
+	}
+}
+
 // TestResetDuringUploadBreaksAnswerOff guards callers against a part of an answer that passes for a whole one: the runner answers
 // without a length before it has read the request, and resets the connection while the request is still being written.
 func TestResetDuringUploadBreaksAnswerOff(t *testing.T) {
@@ -48,14 +61,9 @@
 	upload := strings.Repeat("u", maxBodyBytes-1<<10)
 	d, e := start(t)
 	for service, part := range map[string]string{
-		"desk": okHead + "\r\npart", "engines": okHead + "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: x\n\n",
+		"desk": okHead + "\r\npart", "engines": firstEvent,
 	} {
-		startRunner(t, d, service+"-0", service, func(conn *net.TCPConn, r *http.Request) {
-			_, _ = io.WriteString(conn, strings.ReplaceAll(part, "ID", r.Header.Get("X-Mangopass-Request-Id")))
-			time.Sleep(20 * time.Millisecond) // the VM reads the answer and writes the request meanwhile
-			_ = conn.SetLinger(0)
-			_ = conn.Close()
-		})
+		startRunner(t, d, service+"-0", service, resetAfter(part))
 	}
 	for name, c := range map[string]struct {
 		route string
@@ -81,3 +89,26 @@
 		}
 	}
 }
+
+// TestResetDuringUploadOfChatBreaksAnswerOff guards callers of chats against a part of an answer that passes for a whole one.
+func TestResetDuringUploadOfChatBreaksAnswerOff(t *testing.T) {
+	const uploads = 10
+	d, e := start(t)
+	startRunner(t, d, "engines-0", "engines", resetAfter(firstEvent))
+	// The chats grow since the VM refuses long ones until it has seen that the engine answers those soon enough.
+	for size := 64 << 10; size <= maxBodyBytes/2; size *= 2 {
+		whole := 0
+		for i := range uploads {
+			got := e.chat(t, fmt.Sprint(i, strings.Repeat("u", size)))
+			switch {
+			case got.status == http.StatusOK && got.err == nil:
+				whole++
+			case got.status != http.StatusOK && got.status != http.StatusBadGateway:
+				t.Errorf("%d bytes: the caller got %v, want status 502 or an answer that is cut off", size, got)
+			}
+		}
+		if whole > 0 {
+			t.Errorf("%d bytes: %d of %d answers that were reset reached the caller as whole ones", size, whole, uploads)
+		}
+	}
+}
--- a/cmd/processtest/answertest/setup_test.go
+++ b/cmd/processtest/answertest/setup_test.go
@@ -27,6 +27,9 @@
 // maxBodyBytes is the size of the largest request: more than the buffers of a connection hold that the other side does not read.
 const maxBodyBytes = 16 << 20
 
+// tokensPerSecond admits all chats of a test, each of which may have maxBodyBytes.
+const tokensPerSecond = 100_000_000
+
 var binaries string
 
 func TestMain(m *testing.M) {
@@ -63,7 +66,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	manifest := deploy.Manifest(1, 400_000, 600_000, deploy.CallerKey).(map[string]any)
+	manifest := deploy.Manifest(1, tokensPerSecond, 2*tokensPerSecond, deploy.CallerKey).(map[string]any)
 	manifest["limits"].(map[string]any)["body_bytes"] = maxBodyBytes
 	if err := d.PutManifest(t.Context(), manifest); err != nil {
 		t.Fatal(err)
@@ -128,19 +131,33 @@
 // post sends a request on a route, with further lines in its head, to the platform's front end of a VM or to its API.
 func (e entry) post(t *testing.T, route string, api bool, body string, lines ...string) response {
 	t.Helper()
-	address, prefix := e.Callers, "/"
+	id := newID()
 	if api {
-		address, prefix = e.API, "/v1/services/"
+		return send(t, e.API, "/v1/services/"+route+"/"+id, id, body, lines)
 	}
+	return send(t, e.Callers, "/"+route+"/"+id, id, body, lines)
+}
+
+// chat sends a chat for which an engine gets the text to the API of a VM.
+func (e entry) chat(t *testing.T, text string) response {
+	t.Helper()
+	return send(t, e.API, "/v1/chat/completions", newID(), `{"model":"draft/lily","stream":true,"x":"`+text+`"}`, nil)
+}
+
+// newID returns the ID of a request.
+func newID() string { return fmt.Sprint("q", time.Now().UnixNano()) }
+
+// send sends a request with further lines in its head and reads the response.
+func send(t *testing.T, address, path, id, body string, lines []string) response {
+	t.Helper()
 	conn, err := net.Dial("tcp", address)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer func() { _ = conn.Close() }()
 	_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
-	id := fmt.Sprint("q", time.Now().UnixNano())
 	head := append([]string{
-		"POST " + prefix + route + "/" + id + " HTTP/1.1", "Host: coop.example", "Api-Key: " + deploy.CallerKey,
+		"POST " + path + " HTTP/1.1", "Host: coop.example", "Api-Key: " + deploy.CallerKey,
 		"Authorization: Bearer " + deploy.CallerKey, "X-Mangopass-Request-Id: " + id, "X-Mangopass-Deadline: 8000",
 		fmt.Sprint("Content-Length: ", len(body)),
 	}, lines...)
