contract: An empty list of organisations admits nobody

Cause: a manifest without organisations counted as one that needs no keys, and the decoder did not tell an empty list from a missing one. Change: NeedsKeys says whether the list is stated; null counts as an empty list. The check of a manifest warns where anybody can call or nobody can. Draft.Manifest is the only way to build a manifest, so NewManifest is gone.

--- a/fleet/contract/manifest.go
+++ b/fleet/contract/manifest.go
@@ -4,7 +4,6 @@
 
 import (
 	"crypto/sha256"
-	"slices"
 	"strings"
 	"time"
 )
@@ -75,10 +74,11 @@
 	PerSecond float64       // requests a second that a cold runner takes from all VMs together; zero: no limit
 }
 
-// Manifest is one version of the operators' configuration. It does not change once built.
+// Manifest is one version of the operators' configuration, built by Draft.Manifest. It does not change once built.
 type Manifest struct {
 	Version       int64
 	BodyBytes     int64 // longest body of a request in bytes; zero: not stated
+	NeedsKeys     bool  // requests on routes that are not public need a key
 	Services      map[ServiceName]*Service
 	Organisations map[OrganisationName]*Organisation
 
@@ -86,35 +86,6 @@
 	owners map[KeyHash]*Organisation
 }
 
-// NewManifest returns a manifest with its indexes.
-func NewManifest(
-	version, bodyBytes int64, services []*Service, routes []*Route, organisations []*Organisation,
-) *Manifest {
-	m := &Manifest{
-		Version: version, BodyBytes: bodyBytes,
-		Services:      make(map[ServiceName]*Service, len(services)),
-		Organisations: make(map[OrganisationName]*Organisation, len(organisations)),
-		routes:        make(map[string][]*Route), owners: make(map[KeyHash]*Organisation),
-	}
-	for _, s := range services {
-		m.Services[s.Name] = s
-	}
-	for _, r := range routes {
-		host := strings.ToLower(r.Host)
-		m.routes[host] = append(m.routes[host], r)
-	}
-	for _, hostRoutes := range m.routes {
-		slices.SortStableFunc(hostRoutes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
-	}
-	for _, o := range organisations {
-		m.Organisations[o.Name] = o
-		for _, k := range o.Keys {
-			m.owners[k] = o
-		}
-	}
-	return m
-}
-
 // Route returns the host's route with the longest prefix of the path, or nil. The case of the host is ignored.
 func (m *Manifest) Route(host, path string) *Route {
 	for _, r := range m.routes[strings.ToLower(host)] {
@@ -161,9 +132,6 @@
 // Owner returns the organisation to which a key belongs, or nil.
 func (m *Manifest) Owner(k KeyHash) *Organisation { return m.owners[k] }
 
-// HasOrganisations reports whether the manifest has any organisations. Without them no request needs a key.
-func (m *Manifest) HasOrganisations() bool { return len(m.Organisations) > 0 }
-
 // Admission is the route and the organisation of an admitted request.
 type Admission struct {
 	Route        *Route
@@ -176,7 +144,7 @@
 	if route == nil {
 		return Admission{}, Refuse(RouteNotFound, 0, "no route for host and path")
 	}
-	if route.Public || !m.HasOrganisations() {
+	if route.Public || !m.NeedsKeys {
 		return Admission{Route: route}, nil
 	}
 	var owner *Organisation
--- a/fleet/contract/manifest_test.go
+++ b/fleet/contract/manifest_test.go
@@ -11,7 +11,7 @@
 )
 
 func testManifest() *Manifest {
-	return NewManifest(1, 0, nil, []*Route{
+	return (&Draft{Version: 1, NeedsKeys: true, Routes: []*Route{
 		{
 			Name: "all", Host: "Coop.example", Prefix: "/", Timeout: 5 * time.Second,
 			Backends: []Backend{{Service: "a", Weight: 1}},
@@ -24,7 +24,7 @@
 			Name: "mid", Host: "coop.example", Prefix: "/x/",
 			Backends: []Backend{{Service: "c", Weight: 90}, {Service: "d", Weight: 10}},
 		},
-	}, []*Organisation{{Name: "coop", Keys: []KeyHash{HashKey("k")}}})
+	}, Organisations: []*Organisation{{Name: "coop", Keys: []KeyHash{HashKey("k")}}}}).Manifest()
 }
 
 // TestAdmit guards against a wrong route where prefixes are nested, against a wrong check of the key, and against
--- a/fleet/contract/review/compare.go
+++ b/fleet/contract/review/compare.go
@@ -105,7 +105,11 @@
 }
 
 func manifestProperties(d *contract.Draft) []property {
-	return []property{{Version, fmt.Sprint(d.Version)}, {BodyLimit, fmt.Sprintf("%d bytes", d.BodyBytes)}}
+	access := "anybody can call"
+	if d.NeedsKeys {
+		access = "calls need a key"
+	}
+	return []property{{Version, fmt.Sprint(d.Version)}, {BodyLimit, fmt.Sprintf("%d bytes", d.BodyBytes)}, {Organisations, access}}
 }
 
 // routeName returns the name of a route, or its place if it has none.
--- a/fleet/contract/review/review.go
+++ b/fleet/contract/review/review.go
@@ -3,6 +3,7 @@
 package review
 
 import (
+	"slices"
 	"strconv"
 
 	"github.com/mangopass/mangopass/fleet/contract"
@@ -44,6 +45,7 @@
 	Version        Field = "version"
 	BodyLimit      Field = "body limit"
 	Routes         Field = "routes"
+	Organisations  Field = "organisations"
 	Name           Field = "name"
 	Host           Field = "host"
 	Prefix         Field = "prefix"
@@ -122,6 +124,12 @@
 	if len(d.Routes) == 0 {
 		root.error(Routes, "there is no route; all requests are refused")
 	}
+	switch {
+	case !d.NeedsKeys:
+		root.warning(Organisations, "are not stated; anybody can call all routes without a key")
+	case !slices.ContainsFunc(d.Organisations, func(o *contract.Organisation) bool { return len(o.Keys) > 0 }):
+		root.warning(Organisations, "there is no key; all callers are refused on all routes but the public ones")
+	}
 	reviewRoutes(d, &list)
 	reviewServices(d, &list)
 	reviewOrganisations(d, &list)
--- a/fleet/contract/review/review_test.go
+++ b/fleet/contract/review/review_test.go
@@ -25,6 +25,7 @@
 			{Name: "orders", Host: "h", Prefix: "/", Kind: contract.Unsafe, Timeout: time.Second, Objective: time.Second, MaxAttempts: 1,
 				Backends: []contract.Backend{{Service: "plain", Weight: 9}, {Service: "language"}}},
 		},
+		NeedsKeys: true,
 		Organisations: []*contract.Organisation{
 			{Name: "north", Keys: []contract.KeyHash{contract.HashKey("n1"), contract.HashKey("n2")},
 				Limit: contract.Limit{PerSecond: 10, Burst: 400, InTokens: true, PlainTokens: 200}},
@@ -60,6 +61,8 @@
 	}{
 		{"body limit zero", func(d *contract.Draft) { d.BodyBytes = 0 }, Warning, Place{Manifest, 0, BodyLimit, ""}, "zero"},
 		{"body limit negative", func(d *contract.Draft) { d.BodyBytes = -1 }, Error, Place{Manifest, 0, BodyLimit, ""}, "negative"},
+		{"no organisations", func(d *contract.Draft) { d.NeedsKeys, d.Organisations = false, nil }, Warning, Place{Manifest, 0, Organisations, ""}, "anybody"},
+		{"no organisation in the list", func(d *contract.Draft) { d.Organisations = nil }, Warning, Place{Manifest, 0, Organisations, ""}, "all callers"},
 		{"same host and prefix", route(1, func(r *contract.Route) { r.Host, r.Prefix = "H", "/chat/" }), Error, Place{Route, 1, Prefix, ""}, "never matches"},
 		{"no slash at the begin", route(0, func(r *contract.Route) { r.Prefix = "chat/" }), Error, Place{Route, 0, Prefix, ""}, "never matches"},
 		{"no slash at the end", route(0, func(r *contract.Route) { r.Prefix = "/chat" }), Error, Place{Route, 0, Prefix, ""}, "end with a slash"},
--- a/fleet/contract/review/routes.go
+++ b/fleet/contract/review/routes.go
@@ -29,7 +29,7 @@
 		} else {
 			places[place] = i
 		}
-		reviewRoute(f, r, len(d.Organisations) > 0)
+		reviewRoute(f, r, d.NeedsKeys)
 		reviewBackends(f, r, services)
 	}
 }
--- a/fleet/machine/evacuation_test.go
+++ b/fleet/machine/evacuation_test.go
@@ -87,7 +87,7 @@
 		sim.fleet.Evacuate("c", true)
 		if c.replaced {
 			sim.scheduler = NewScheduler(sim.fleet, noUsage{}, leadsAll{})
-			sim.scheduler.Configure(contract.NewManifest(1, 0, []*contract.Service{testService(24)}, nil, nil))
+			sim.scheduler.Configure((&contract.Draft{Version: 1, Services: []*contract.Service{testService(24)}}).Manifest())
 		}
 		loads := sim.run(3*time.Second, waiting)
 		if len(loads) != 1 || sim.ready(8) != 1 {
--- a/fleet/machine/placement_test.go
+++ b/fleet/machine/placement_test.go
@@ -35,7 +35,7 @@
 	sim := &simulation{now: start, fleet: NewFleet(), engines: make(map[RunnerID]*fakeEngine)}
 	service := testService(models)
 	sim.scheduler = NewScheduler(sim.fleet, noUsage{}, leadsAll{})
-	sim.scheduler.Configure(contract.NewManifest(1, 0, []*contract.Service{service}, nil, nil))
+	sim.scheduler.Configure((&contract.Draft{Version: 1, Services: []*contract.Service{service}}).Manifest())
 	for i := range runners {
 		id := RunnerID(fmt.Sprint("r", i))
 		sim.engines[id] = &fakeEngine{
--- a/node/entry/routing.go
+++ b/node/entry/routing.go
@@ -192,11 +192,11 @@
 	r.ready.Store(r.isReady(now))
 }
 
-// isReady reports whether this VM should get new connections. A stale manifest prevents that only if it has
-// organisations, since without them no call is refused for a key.
+// isReady reports whether this VM should get new connections. A stale manifest prevents that only if calls need a key, since
+// no other call is refused for it.
 func (r *routing) isReady(now clock.Instant) bool {
 	return !r.stopping && r.manifest != nil && r.runnersListed &&
-		(r.freshness.Fresh(now) || !r.manifest.HasOrganisations())
+		(r.freshness.Fresh(now) || !r.manifest.NeedsKeys)
 }
 
 // apply starts a planned stop. The VM gives up its terms at once, so that the next leaders' pause before their first
--- a/node/entry/sharesreplay_test.go
+++ b/node/entry/sharesreplay_test.go
@@ -103,7 +103,9 @@
 			}
 			organisations = append(organisations, o)
 		}
-		h.manifest = contract.NewManifest(h.manifest.Version+1, 0, services, h.manifest.Routes(), organisations)
+		h.manifest = (&contract.Draft{
+			Version: h.manifest.Version + 1, Services: services, Routes: h.manifest.Routes(), NeedsKeys: true, Organisations: organisations,
+		}).Manifest()
 	}
 }
 
