node/entry: A manifest that can't be read proves nothing about the one before

Cause: each answer of the store confirmed the manifest in force, also one that showed another, rejected manifest. Change: Freshness keeps the proof of the store's state and that of the manifest apart; an unreadable, removed or unlisted manifest withdraws the second until a sound one is read. Readiness, status, a metric and log lines say why.

--- a/cmd/mangopass/statuspage.go
+++ b/cmd/mangopass/statuspage.go
@@ -24,6 +24,9 @@
 	_, _ = fmt.Fprintf(w,
 		"%s: ready %v, stopping %v, manifest %d (proved %d ms ago), planner %s, %d requests waiting, shards %v\n",
 		s.Node, s.Ready, s.Stopping, s.Manifest, s.ManifestAgeMs, s.Planner, s.Waiting, s.Shards)
+	if s.NotReady != "" {
+		_, _ = fmt.Fprintf(w, "not ready: %s\n", s.NotReady)
+	}
 	writeBookings(w, s)
 	_, _ = fmt.Fprintf(w, "callers: %d of %d bytes held, %d of %d connections\n",
 		s.Callers.HeldBytes, s.Callers.MaxBytes, s.Callers.Connections, s.Callers.MaxConnections)
--- a/node/entry/admission.go
+++ b/node/entry/admission.go
@@ -77,7 +77,7 @@
 // manifest itself would refuse, since a newer one might allow it.
 func (r *routing) admit(c *call, now clock.Instant) *contract.Refusal {
 	if r.manifest == nil {
-		return contract.Refuse(contract.ManifestMissing, manifestRetryAfter, "no manifest has been read yet")
+		return r.missingManifest()
 	}
 	admitted, refusal := r.manifest.Admit(c.request)
 	needsFreshManifest := refusal != nil || admitted.Organisation != nil
@@ -106,8 +106,20 @@
 	if r.manifest == nil || r.freshness.Fresh(now) {
 		return nil
 	}
-	return contract.Refuse(contract.ManifestStale, manifestRetryAfter, "the manifest is %s old",
-		r.freshness.Age(now).Round(time.Millisecond))
+	age := r.freshness.ManifestAge(now).Round(time.Millisecond)
+	if r.freshness.Withdrawn() {
+		return contract.Refuse(contract.ManifestStale, manifestRetryAfter,
+			"the newest manifest can't be read, and the one in force was proved %s ago", age)
+	}
+	return contract.Refuse(contract.ManifestStale, manifestRetryAfter, "the manifest is %s old", age)
+}
+
+// missingManifest returns the refusal of a call while no manifest is in force.
+func (r *routing) missingManifest() *contract.Refusal {
+	if r.freshness.Withdrawn() {
+		return contract.Refuse(contract.ManifestMissing, manifestRetryAfter, "the newest manifest can't be read")
+	}
+	return contract.Refuse(contract.ManifestMissing, manifestRetryAfter, "no manifest has been read yet")
 }
 
 // quota returns an organisation's quota and creates it at first use.
@@ -345,7 +357,7 @@
 	r.log.Info("refused", "request", c.request.ID, "code", refusal.Code, "may_have_run", refusal.MayHaveRun,
 		"takes_up", c.request.LastEvent != "",
 		"detail", refusal.Detail, "model", c.artifact.Model, "waited_ms", now.Sub(c.request.Arrived).Milliseconds(),
-		"manifest", version, "manifest_age_ms", r.freshness.Age(now).Milliseconds(),
+		"manifest", version, "manifest_age_ms", r.freshness.ManifestAge(now).Milliseconds(),
 		"retry_after_ms", refusal.RetryAfter.Milliseconds(), "decided_by", refusal.DecidedBy)
 	r.metrics.refused.WithLabelValues(string(refusal.Code)).Inc()
 	r.metrics.request.WithLabelValues("refused").Observe(now.Sub(c.request.Arrived).Seconds())
--- a/node/entry/api.go
+++ b/node/entry/api.go
@@ -264,7 +264,7 @@
 func (r *routing) findRoutes(q routesQuery) ([]*contract.Route, *contract.Refusal) {
 	switch {
 	case r.manifest == nil:
-		return nil, contract.Refuse(contract.ManifestMissing, manifestRetryAfter, "no manifest has been read yet")
+		return nil, r.missingManifest()
 	case q.name != "":
 		if route := r.manifest.RouteNamed(q.name); route != nil {
 			return []*contract.Route{route}, nil
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -246,8 +246,9 @@
 
 // serveReady answers the platform's readiness probe.
 func (e *Entry) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if !e.routing.ready.Load() {
+	if reason := e.routing.readiness.get(); reason != "" {
 		w.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = io.WriteString(w, "not ready: "+string(reason)+"\n")
 		return
 	}
 	_, _ = io.WriteString(w, "ready\n")
--- /dev/null
+++ b/node/entry/manifest.go
@@ -0,0 +1,62 @@
+package entry
+
+import (
+	"github.com/mangopass/mangopass/duty/clock"
+	"github.com/mangopass/mangopass/platform"
+)
+
+// manifestChange is what became of a manifest that was read.
+type manifestChange int
+
+const (
+	manifestOther manifestChange = iota // unreadable, or older than the one in force
+	manifestSame                        // of the version in force
+	manifestNew                         // now in force
+)
+
+// withdrawManifest takes note that the store holds no manifest that proves the one in force.
+func (r *routing) withdrawManifest(message string, details ...any) {
+	r.log.Error(message, append(details, "in_force", r.manifestVersion())...)
+	r.freshness.Withdraw()
+	r.metrics.unreadable.Set(1)
+}
+
+// applyManifest puts a manifest in force unless it can't be read or is not newer. One that can't be read may have taken keys away:
+// the one in force is then no longer proved.
+func (r *routing) applyManifest(e platform.Entry, now clock.Instant) manifestChange {
+	if e.Deleted {
+		r.withdrawManifest("manifest removed", "revision", e.Revision)
+		return manifestOther
+	}
+	m, err := platform.DecodeManifest(e.Value)
+	if err != nil {
+		r.withdrawManifest("manifest rejected", "error", err.Error(), "revision", e.Revision)
+		return manifestOther
+	}
+	if r.freshness.Withdrawn() {
+		r.log.Info("manifest readable", "version", m.Version, "revision", e.Revision, "in_force", r.manifestVersion())
+		r.freshness.Restore()
+		r.metrics.unreadable.Set(0)
+	}
+	r.era.shown = m.Version
+	switch {
+	case m.Version < r.manifestVersion():
+		return manifestOther
+	case m.Version == r.manifestVersion():
+		return manifestSame
+	}
+	r.log.Info("manifest in force", "version", m.Version, "before", r.manifestVersion(),
+		"revision", e.Revision)
+	r.manifest, r.manifestSince = m, now
+	r.showManifest(e.Value)
+	if m.BodyBytes > 0 {
+		r.bodyLimit.Store(m.BodyBytes)
+	}
+	r.leader.scheduler.Configure(m)
+	r.table.Limits.SetServices(m.Services)
+	for _, o := range m.Organisations {
+		r.quota(o, now).SetLimit(o.Limit, now)
+	}
+	r.metrics.manifest.Set(float64(m.Version))
+	return manifestNew
+}
--- a/node/entry/manifest_test.go
+++ b/node/entry/manifest_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"testing"
+	"time"
 
 	"github.com/mangopass/mangopass/fleet/contract"
 	"github.com/mangopass/mangopass/platform"
@@ -50,3 +51,86 @@
 		}
 	}
 }
+
+// keepReading applies what the store shows for a time in which nothing changes.
+func (h *harness) keepReading(d time.Duration) {
+	for end := h.now.Add(d); h.now.Before(end); {
+		h.now = h.now.Add(500 * time.Millisecond)
+		h.apply(storeChanged{sent: h.now, position: h.changes.Position()})
+	}
+	h.onTick(h.now)
+}
+
+// TestUnreadableManifestProvesNothing guards against keys that stay in force for good because the manifest that takes them away can't
+// be read, or was removed: what the store shows no longer proves the one before. Public routes go on, and a sound manifest ends it.
+func TestUnreadableManifestProvesNothing(t *testing.T) {
+	for name, e := range map[string]platform.Entry{
+		"broken off": {Value: []byte(`{"version":2`)}, "no object": {Value: []byte(`[2]`)}, "null": {Value: []byte(`null`)}, "empty": {},
+		"removed": {Deleted: true},
+	} {
+		h := newHarness()
+		h.setUp("r1")
+		e.Key, e.Revision = platform.KeyManifest, 11
+		h.apply(storeChanged{manifest: &e, position: at(11), sent: h.now})
+		h.keepReading(h.rules.Revoke() * 3 / 4)
+		for _, key := range []string{"key", "unknown"} {
+			_, d := h.admitCall("/confirm/", key)
+			wantRefusal(t, d, contract.ManifestStale, false)
+		}
+		if _, d := h.admitCall("/open/", ""); d == nil || d.refusal != nil {
+			t.Errorf("%s, public route: decision %+v, want an attempt", name, d)
+		}
+		if reason := h.readiness.get(); reason != notReadyUnreadable {
+			t.Errorf("%s: not ready for %q, want %q", name, reason, notReadyUnreadable)
+		}
+		if !h.viewIsRecent(h.now) {
+			t.Errorf("%s: the view of the runners counts as old", name)
+		}
+		h.write(testManifest(3), 12)
+		h.onTick(h.now)
+		if _, d := h.admitCall("/confirm/", "key"); d == nil || d.refusal != nil || !h.isReady(h.now) {
+			t.Errorf("%s, then a sound manifest: decision %+v, ready %v, want an attempt", name, d, h.isReady(h.now))
+		}
+	}
+}
+
+// TestUnreadableManifestAtStart guards against a VM that takes an unreadable manifest for none, or that never recovers from it.
+func TestUnreadableManifestAtStart(t *testing.T) {
+	h := newHarness()
+	h.apply(storeChanged{
+		manifest: &platform.Entry{Key: platform.KeyManifest, Value: []byte(`{`), Revision: 11}, position: at(11), complete: true, sent: h.now,
+	})
+	for _, path := range []string{"/confirm/", "/none/"} {
+		_, d := h.admitCall(path, "key")
+		wantRefusal(t, d, contract.ManifestMissing, false)
+	}
+	if reason := h.notReady(h.now); reason != notReadyUnreadable {
+		t.Errorf("not ready for %q, want %q", reason, notReadyUnreadable)
+	}
+	h.write(testManifest(3), 12)
+	if !h.isReady(h.now) {
+		t.Errorf("not ready for %q after a sound manifest", h.notReady(h.now))
+	}
+}
+
+// TestFeedOfUnreadableManifestProvesNothing guards against VMs below a relay that go on with removed keys, because the relay passes on
+// that it has read the store.
+func TestFeedOfUnreadableManifestProvesNothing(t *testing.T) {
+	f := newFeedPair(t)
+	f.relay.write([]byte(`{"version":`), 12)
+	for end := f.relay.now.Add(f.child.rules.Revoke() * 3 / 4); f.relay.now.Before(end); {
+		f.exchange()
+		f.relay.apply(storeChanged{sent: f.relay.now, position: f.relay.changes.Position()})
+	}
+	f.exchange()
+	for name, h := range map[string]*harness{"relay": f.relay, "child": f.child} {
+		if h.manifestVersion() != 1 || h.freshness.Fresh(h.now) {
+			t.Errorf("%s: manifest %d, fresh %v, want manifest 1 without a proof", name, h.manifestVersion(), h.freshness.Fresh(h.now))
+		}
+	}
+	f.relay.write(testManifest(3), 13)
+	f.exchange()
+	if h := f.child; h.manifestVersion() != 3 || !h.freshness.Fresh(h.now) {
+		t.Errorf("after a sound manifest: manifest %d, fresh %v", h.manifestVersion(), h.freshness.Fresh(h.now))
+	}
+}
--- a/node/entry/metrics.go
+++ b/node/entry/metrics.go
@@ -22,6 +22,7 @@
 	request         *prometheus.HistogramVec
 	manifest        prometheus.Gauge
 	manifestAge     prometheus.Gauge
+	unreadable      prometheus.Gauge
 	runners         *prometheus.GaugeVec
 	peers           *prometheus.GaugeVec
 	shards          prometheus.Gauge
@@ -116,6 +117,7 @@
 		manifest: newGauge("manifest_version", "Version of the manifest in force."),
 		manifestAge: newGauge("manifest_proof_age_seconds",
 			"Time since the store last confirmed that the manifest is the newest."),
+		unreadable: newGauge("manifest_unreadable", "1 if the newest manifest in the store can't be read, so that the one in force is not proved."),
 		runners: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Namespace: metrics.Namespace, Name: "runners", Help: "Known runners by state.",
 		}, []string{"state"}),
@@ -144,7 +146,7 @@
 		m.replicaRefusals.WithLabelValues(string(reason))
 	}
 	r.MustRegister(m.quotaRefusals, m.replicaRefusals, m.bookings, m.quotaWaiting, m.booked)
-	r.MustRegister(m.sent, m.results, m.refused, m.orders, m.firstEvent, m.request, m.manifest, m.manifestAge,
+	r.MustRegister(m.sent, m.results, m.refused, m.orders, m.firstEvent, m.request, m.manifest, m.manifestAge, m.unreadable,
 		m.runners, m.peers, m.shards, m.waiting, m.planner, m.blockedParts, m.blockedRequests, m.evacuated, m.pauses, m.rejectedStatements,
 		m.takeUps, m.streamRecords, m.cutAnswers)
 	m.replica = newReplicaMetrics(r)
@@ -165,7 +167,7 @@
 		return
 	}
 	m.gaugesUpdatedAt = now
-	m.manifestAge.Set(r.freshness.Age(now).Seconds())
+	m.manifestAge.Set(r.freshness.ManifestAge(now).Seconds())
 	usable, limited, cold := 0, 0, 0
 	for _, runner := range r.fleet.All() {
 		if runner.Usable(now) {
--- a/node/entry/routing.go
+++ b/node/entry/routing.go
@@ -46,7 +46,7 @@
 	rand          *rand.Rand
 	lastTick      clock.Instant
 	tickPending   bool          // messages were applied too soon after the last tick for another one
-	ready         atomic.Bool   // read by the readiness probe
+	readiness     readiness     // as last reported
 	bodyLimit     atomic.Int64  // bytes; read by the front ends
 	startedAt     clock.Instant // of this process
 	viewed        atomic.Int64  // instant of viewedAt; read by the goroutines of requests
@@ -189,14 +189,7 @@
 		r.streams.origins.Expire(now)
 	}
 	r.updateGauges(now)
-	r.ready.Store(r.isReady(now))
-}
-
-// isReady reports whether this VM should get new connections. A stale manifest prevents that only if calls need a key, since
-// no other call is refused for it.
-func (r *routing) isReady(now clock.Instant) bool {
-	return !r.stopping && r.manifest != nil && r.runnersListed &&
-		(r.freshness.Fresh(now) || !r.manifest.NeedsKeys)
+	r.reportReadiness(now)
 }
 
 // apply starts a planned stop. The VM gives up its terms at once, so that the next leaders' pause before their first
--- a/node/entry/status.go
+++ b/node/entry/status.go
@@ -22,6 +22,7 @@
 type Status struct {
 	Node          string                 `json:"node"`
 	Ready         bool                   `json:"ready"`
+	NotReady      notReadyReason         `json:"not_ready"` // empty if it is ready
 	Stopping      bool                   `json:"stopping"`
 	Manifest      int64                  `json:"manifest"`
 	ManifestAgeMs int64                  `json:"manifest_age_ms"` // since the store last confirmed that it is the newest
@@ -91,8 +92,8 @@
 // apply answers the query.
 func (q statusQuery) apply(r *routing, now clock.Instant) {
 	s := Status{
-		Node: r.node, Ready: r.isReady(now), Stopping: r.stopping, Manifest: r.manifestVersion(),
-		ManifestAgeMs: r.freshness.Age(now).Milliseconds(), Planner: r.members.planner, Waiting: len(r.waiting),
+		Node: r.node, Ready: r.isReady(now), NotReady: r.notReady(now), Stopping: r.stopping, Manifest: r.manifestVersion(),
+		ManifestAgeMs: r.freshness.ManifestAge(now).Milliseconds(), Planner: r.members.planner, Waiting: len(r.waiting),
 		Shards: []int{}, Evacuated: append([]zone.ID{}, r.evacuations.All()...), Peers: []PeerStatus{}, Runners: []RunnerStatus{},
 		Quotas:   r.quotaWaits.Status(),
 		Overflow: r.overflowStatus(),
--- a/node/entry/storechanges.go
+++ b/node/entry/storechanges.go
@@ -5,7 +5,6 @@
 	"github.com/mangopass/mangopass/fleet/contract"
 	"github.com/mangopass/mangopass/fleet/link"
 	"github.com/mangopass/mangopass/fleet/machine"
-	"github.com/mangopass/mangopass/platform"
 )
 
 // apply applies what the watch has read from the platform's store, or a relay has passed on.
@@ -22,9 +21,12 @@
 	if m.complete {
 		r.changes.Restart(m.position)
 	}
+	if m.complete && m.manifest == nil && r.manifest != nil {
+		r.withdrawManifest("manifest not listed", "revision", m.position.Revision)
+	}
 	if m.manifest != nil {
 		r.changes.Record(link.StoreEntry(*m.manifest))
-		r.noteWritten(m, r.applyManifest(m.manifest.Value, m.manifest.Revision, now))
+		r.noteWritten(m, r.applyManifest(*m.manifest, now))
 	}
 	fromCopy := m.complete && r.era.unread
 	r.applyEvacuations(m, now)
@@ -88,45 +90,6 @@
 		!runner.SameAs(change.announcement)
 }
 
-// manifestChange is what became of a manifest that was read.
-type manifestChange int
-
-const (
-	manifestOther manifestChange = iota // malformed, or older than the one in force
-	manifestSame                        // of the version in force
-	manifestNew                         // now in force
-)
-
-// applyManifest puts a manifest in force unless it is malformed or not newer.
-func (r *routing) applyManifest(value []byte, revision int64, now clock.Instant) manifestChange {
-	m, err := platform.DecodeManifest(value)
-	if err != nil {
-		r.log.Error("manifest rejected", "error", err.Error(), "in_force", r.manifestVersion())
-		return manifestOther
-	}
-	r.era.shown = m.Version
-	switch {
-	case m.Version < r.manifestVersion():
-		return manifestOther
-	case m.Version == r.manifestVersion():
-		return manifestSame
-	}
-	r.log.Info("manifest in force", "version", m.Version, "before", r.manifestVersion(),
-		"revision", revision)
-	r.manifest, r.manifestSince = m, now
-	r.showManifest(value)
-	if m.BodyBytes > 0 {
-		r.bodyLimit.Store(m.BodyBytes)
-	}
-	r.leader.scheduler.Configure(m)
-	r.table.Limits.SetServices(m.Services)
-	for _, o := range m.Organisations {
-		r.quota(o, now).SetLimit(o.Limit, now)
-	}
-	r.metrics.manifest.Set(float64(m.Version))
-	return manifestNew
-}
-
 func (r *routing) manifestVersion() int64 {
 	if r.manifest == nil {
 		return 0
--- a/node/entry/streams.go
+++ b/node/entry/streams.go
@@ -72,7 +72,7 @@
 
 // canRecordStreams reports whether a stream that begins now can be expected to be recorded in time.
 func (r *routing) canRecordStreams(now clock.Instant) bool {
-	return r.streams.records && !now.Before(r.streams.pausedUntil) && r.freshness.Age(now) < machine.ViewAge
+	return r.streams.records && !now.Before(r.streams.pausedUntil) && r.freshness.StoreAge(now) < machine.ViewAge
 }
 
 // owner returns the organisation of an admitted call, or an empty name on a public route.
@@ -155,7 +155,7 @@
 	switch {
 	case m.outcome == platform.Applied && json.Unmarshal(m.entry.Value, &e) == nil:
 		r.takeUp(c, link.Origin{Service: e.Service, Version: e.Version}, fromRecord, now)
-	case m.outcome == platform.NotFound && known && kept && !record.Undecided && r.freshness.Age(now) < machine.ViewAge:
+	case m.outcome == platform.NotFound && known && kept && !record.Undecided && r.freshness.StoreAge(now) < machine.ViewAge:
 		r.takeUp(c, link.Origin{Service: c.service, Version: record.Default}, fromNoRecord, now)
 	case m.outcome == platform.NotFound && known && kept && record.Undecided:
 		r.refuse(c, contract.Refuse(contract.StreamLost, 0, "what began the stream was not recorded"), now)
@@ -170,7 +170,7 @@
 func (r *routing) takeUp(c *call, origin link.Origin, source originSource, now clock.Instant) {
 	r.log.Info("stream taken up", "request", c.request.ID, "resumes", c.request.Resumes, "after", c.request.LastEvent,
 		"service", origin.Service, "version", origin.Version, "source", source,
-		"versions_age_ms", r.freshness.Age(now).Milliseconds())
+		"versions_age_ms", r.freshness.StoreAge(now).Milliseconds())
 	r.metrics.takeUps.WithLabelValues(string(source)).Inc()
 	if origin == (link.Origin{}) || !c.admitted.Route.HasBackend(origin.Service) {
 		r.refuse(c, contract.Refuse(contract.StreamLost, 0, "no service of the route can go on with the stream"), now)
--- a/node/entry/watch.go
+++ b/node/entry/watch.go
@@ -180,7 +180,7 @@
 	for _, e := range entries {
 		id, isRunner := platform.RunnerID(e.Key)
 		switch {
-		case e.Key == platform.KeyManifest && !e.Deleted:
+		case e.Key == platform.KeyManifest:
 			out.manifest = &e
 		case isRunner && e.Deleted:
 			out.runners = append(out.runners, runnerChange{id: id, entry: e, gone: true})
