platform: Manifests may write numbers with fractions

Cause: weights and times were decoded into integers, and encoding/json rejects 1500.0 for a whole number, and the manifest with it. Backend gives nothing to a service of weight zero, which rounding could have chosen.

--- a/fleet/contract/manifest_test.go
+++ b/fleet/contract/manifest_test.go
@@ -1,6 +1,7 @@
 package contract
 
 import (
+	"math"
 	"strings"
 	"testing"
 	"time"
@@ -76,6 +77,17 @@
 	}
 }
 
+// TestServiceWithoutWeightGetsNothing guards against a request at a service of weight zero, to which the rounding of a sum of fractions
+// could leave it.
+func TestServiceWithoutWeightGetsNothing(t *testing.T) {
+	r := &Route{Backends: []Backend{{Service: "a", Weight: 0.1}, {Service: "b", Weight: 0.2}, {Service: "c", Weight: 0.3}, {Service: "old"}}}
+	for _, point := range []float64{0, 0.5, math.Nextafter(1, 0), 1} {
+		if s := r.Backend(point); s == "old" {
+			t.Errorf("point %v: service %q", point, s)
+		}
+	}
+}
+
 // TestDeadlineKeepsBothTimeouts guards against a deadline after the caller's or the route's timeout.
 func TestDeadlineKeepsBothTimeouts(t *testing.T) {
 	route := &Route{Timeout: 5 * time.Second}
--- a/fleet/contract/review/compare.go
+++ b/fleet/contract/review/compare.go
@@ -118,7 +118,7 @@
 func routeProperties(r *contract.Route) []property {
 	var backends []string
 	for _, b := range r.Backends {
-		backends = append(backends, fmt.Sprintf("%s (weight %d)", b.Service, b.Weight))
+		backends = append(backends, fmt.Sprintf("%s (weight %g)", b.Service, b.Weight))
 	}
 	return []property{
 		{Host, r.Host}, {Prefix, r.Prefix}, {Kind, r.Kind.String()}, {Resumable, fmt.Sprint(r.Resumable)}, {Public, fmt.Sprint(r.Public)},
--- a/fleet/contract/review/routes.go
+++ b/fleet/contract/review/routes.go
@@ -74,7 +74,7 @@
 }
 
 func reviewBackends(f findings, r *contract.Route, services map[contract.ServiceName]bool) {
-	total := 0
+	total := 0.0
 	seen := make(map[contract.ServiceName]bool)
 	for i, b := range r.Backends {
 		item := strconv.Itoa(i)
--- a/fleet/contract/route.go
+++ b/fleet/contract/route.go
@@ -37,7 +37,7 @@
 // Backend is a service of a route and its share of the requests: Weight divided by the sum of all weights.
 type Backend struct {
 	Service ServiceName
-	Weight  int
+	Weight  float64
 }
 
 // Route maps a host and a path prefix to the services that run the requests.
@@ -81,18 +81,22 @@
 	return slices.ContainsFunc(r.Backends, func(b Backend) bool { return b.Service == s })
 }
 
-// Backend chooses a service by weight; point is a uniformly distributed number from 0 to 1.
+// Backend chooses a service by weight; point is a uniformly distributed number from 0 to 1. A service of weight zero is chosen only if
+// all are.
 func (r *Route) Backend(point float64) ServiceName {
-	total := 0
+	total := 0.0
 	for _, b := range r.Backends {
 		total += b.Weight
 	}
-	left := point * float64(total)
+	left, chosen := point*total, r.Backends[len(r.Backends)-1].Service
 	for _, b := range r.Backends {
-		left -= float64(b.Weight)
-		if left < 0 {
-			return b.Service
+		if b.Weight <= 0 {
+			continue
+		}
+		chosen = b.Service // the last one takes what rounding leaves
+		if left -= b.Weight; left < 0 {
+			break
 		}
 	}
-	return r.Backends[len(r.Backends)-1].Service
+	return chosen
 }
