platform: A field that can't be read leaves the rest of a manifest in force

Cause: a manifest was decoded as one value, by encoding/json, which takes names in any case and the last of two equal ones.

--- a/fleet/contract/draft.go
+++ b/fleet/contract/draft.go
@@ -13,12 +13,14 @@
 	Routes        []*Route
 	NeedsKeys     bool // requests need a key, even if no organisation has one
 	Organisations []*Organisation
+	UnknownRoutes bool // there are routes whose host can't be read
+	UnknownKeys   bool // there are keys that can't be read
 }
 
 // Manifest returns the manifest that is in force with the draft.
 func (d *Draft) Manifest() *Manifest {
 	m := &Manifest{
-		Version: d.Version, BodyBytes: d.BodyBytes, NeedsKeys: d.NeedsKeys,
+		Version: d.Version, BodyBytes: d.BodyBytes, NeedsKeys: d.NeedsKeys, UnknownRoutes: d.UnknownRoutes, UnknownKeys: d.UnknownKeys,
 		Services:      make(map[ServiceName]*Service, len(d.Services)),
 		Organisations: make(map[OrganisationName]*Organisation, len(d.Organisations)),
 		routes:        make(map[string][]*Route), owners: make(map[KeyHash]*Organisation),
@@ -34,7 +36,9 @@
 		slices.SortStableFunc(hostRoutes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
 	}
 	for _, o := range d.Organisations {
-		m.Organisations[o.Name] = o
+		if !o.Invalid {
+			m.Organisations[o.Name] = o
+		}
 		for _, k := range o.Keys {
 			m.owners[k] = o
 		}
--- a/fleet/contract/manifest.go
+++ b/fleet/contract/manifest.go
@@ -20,6 +20,7 @@
 	Keys     []KeyHash
 	Priority *int // 0 is the most urgent; goes before a route's priority; nil: not stated
 	Limit    Limit
+	Invalid  bool // its name or its limit can't be read: its requests are refused
 }
 
 // Limit is an organisation's rate and burst, in requests or in tokens. A rate of zero means no limit.
@@ -79,8 +80,10 @@
 	Version       int64
 	BodyBytes     int64 // longest body of a request in bytes; zero: not stated
 	NeedsKeys     bool  // requests on routes that are not public need a key
+	UnknownRoutes bool  // there are routes whose host can't be read
+	UnknownKeys   bool  // there are keys that can't be read
 	Services      map[ServiceName]*Service
-	Organisations map[OrganisationName]*Organisation
+	Organisations map[OrganisationName]*Organisation // without those that can't be read
 
 	routes map[string][]*Route // by host in lower case, longest prefix first
 	owners map[KeyHash]*Organisation
@@ -132,6 +135,13 @@
 // Owner returns the organisation to which a key belongs, or nil.
 func (m *Manifest) Owner(k KeyHash) *Organisation { return m.owners[k] }
 
+// AdmitsKeys reports whether requests with a key can be admitted, or refused for good.
+func (m *Manifest) AdmitsKeys() bool { return len(m.owners) > 0 || !m.UnknownKeys }
+
+// invalidRetryAfter is when a caller may come again whose request depends on a part of the manifest that can't be read. The operators
+// have to write it again.
+const invalidRetryAfter = time.Second
+
 // Admission is the route and the organisation of an admitted request.
 type Admission struct {
 	Route        *Route
@@ -141,8 +151,13 @@
 // Admit finds the route of a request and checks its key. It does not check limits.
 func (m *Manifest) Admit(r *Request) (Admission, *Refusal) {
 	route := m.Route(r.Host, r.Path)
-	if route == nil {
+	switch {
+	case route == nil && m.UnknownRoutes:
+		return Admission{}, Refuse(ManifestInvalid, invalidRetryAfter, "the manifest has routes that can't be read")
+	case route == nil:
 		return Admission{}, Refuse(RouteNotFound, 0, "no route for host and path")
+	case route.Invalid:
+		return Admission{}, Refuse(ManifestInvalid, invalidRetryAfter, "the route can't be read in the manifest")
 	}
 	if route.Public || !m.NeedsKeys {
 		return Admission{Route: route}, nil
@@ -151,8 +166,13 @@
 	if r.HasKey {
 		owner = m.Owner(r.Key)
 	}
-	if owner == nil {
+	switch {
+	case owner == nil && r.HasKey && m.UnknownKeys:
+		return Admission{}, Refuse(ManifestInvalid, invalidRetryAfter, "the manifest has keys that can't be read")
+	case owner == nil:
 		return Admission{}, Refuse(InvalidKey, 0, "the request carries no valid key")
+	case owner.Invalid:
+		return Admission{}, Refuse(ManifestInvalid, invalidRetryAfter, "the organisation can't be read in the manifest")
 	}
 	return Admission{Route: route, Organisation: owner}, nil
 }
--- a/fleet/contract/refusal.go
+++ b/fleet/contract/refusal.go
@@ -21,6 +21,7 @@
 	NoReplica        Code = "no_replica"
 	ManifestMissing  Code = "manifest_missing"
 	ManifestStale    Code = "manifest_stale"
+	ManifestInvalid  Code = "manifest_invalid" // it has a part that can't be read, on which the request depends
 	CrashSuspect     Code = "crash_suspect"
 	DeadlineExceeded Code = "deadline_exceeded"
 	RunnerFailed     Code = "runner_failed"
--- a/fleet/contract/route.go
+++ b/fleet/contract/route.go
@@ -54,6 +54,7 @@
 	Priority    int           // 0 is the most urgent
 	MaxAttempts int           // largest number of runners to which a request is sent each time the caller sends it
 	Backends    []Backend
+	Invalid     bool // it can't be read in full: its requests are refused
 }
 
 // Repeatable reports whether a request of the route may run more than once.
--- a/node/entry/manifest.go
+++ b/node/entry/manifest.go
@@ -21,6 +21,9 @@
 	r.metrics.unreadable.Set(1)
 }
 
+// maxLoggedFields is the number of invalid fields of a manifest that a log line names.
+const maxLoggedFields = 10
+
 // applyManifest puts a manifest in force unless it can't be read or is not newer. One that can't be read may have taken keys away:
 // the one in force is then no longer proved.
 func (r *routing) applyManifest(e platform.Entry, now clock.Instant) manifestChange {
@@ -28,7 +31,7 @@
 		r.withdrawManifest("manifest removed", "revision", e.Revision)
 		return manifestOther
 	}
-	m, err := platform.DecodeManifest(e.Value)
+	m, invalid, err := platform.DecodeManifest(e.Value)
 	if err != nil {
 		r.withdrawManifest("manifest rejected", "error", err.Error(), "revision", e.Revision)
 		return manifestOther
@@ -45,6 +48,11 @@
 	case m.Version == r.manifestVersion():
 		return manifestSame
 	}
+	r.metrics.invalidFields.Set(float64(len(invalid)))
+	if len(invalid) > 0 {
+		r.log.Error("manifest has invalid fields", "version", m.Version, "count", len(invalid),
+			"fields", invalid[:min(len(invalid), maxLoggedFields)])
+	}
 	r.log.Info("manifest in force", "version", m.Version, "before", r.manifestVersion(),
 		"revision", e.Revision)
 	r.manifest, r.manifestSince = m, now
--- a/node/entry/manifest_test.go
+++ b/node/entry/manifest_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"encoding/json"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/mangopass/mangopass/fleet/contract"
+	"github.com/mangopass/mangopass/fleet/machine"
 	"github.com/mangopass/mangopass/platform"
 )
 
@@ -134,3 +136,57 @@
 		t.Errorf("after a sound manifest: manifest %d, fresh %v", h.manifestVersion(), h.freshness.Fresh(h.now))
 	}
 }
+
+// TestRestOfManifestIsServed guards against a manifest that is rejected as a whole for one field, in VMs that run and in those that start
+// under it: keys that it takes away go, and what does not depend on the field is served.
+func TestRestOfManifestIsServed(t *testing.T) {
+	odd := []byte(strings.Replace(string(withField(2, "tenants", `[{"name":"coop","keys":["stays"]}]`)), `"timeout_ms":10000`, `"timeout_ms":"10s"`, 1))
+	for _, starts := range []bool{false, true} {
+		h := newHarness()
+		if !starts {
+			h.setUp("r1")
+			h.write(odd, 11)
+		} else {
+			h.apply(storeChanged{
+				manifest: &platform.Entry{Key: platform.KeyManifest, Value: odd, Revision: 11}, position: at(11), complete: true, sent: h.now,
+				runners: []runnerChange{{id: "r1", announcement: machine.Announcement{
+					ID: "r1", Service: "s", Address: "1.1.1.1:1", Zone: "z", Slots: 6,
+				}}},
+			})
+		}
+		h.keepReading(h.rules.Revoke())
+		if !h.isReady(h.now) || h.manifestVersion() != 2 {
+			t.Errorf("starts %v: not ready for %q with manifest %d", starts, h.notReady(h.now), h.manifestVersion())
+		}
+		_, d := h.admitCall("/confirm/", "stays")
+		wantRefusal(t, d, contract.ManifestInvalid, false)
+		if d.refusal.RetryAfter == 0 {
+			t.Error("a caller is not told when to come back")
+		}
+		if _, d = h.admitCall("/stock/", "stays"); d == nil || d.refusal != nil {
+			t.Errorf("starts %v, a route beside: decision %+v, want an attempt", starts, d)
+		}
+		_, d = h.admitCall("/stock/", "key")
+		wantRefusal(t, d, contract.InvalidKey, false)
+	}
+}
+
+// TestUnreadableKeysMakeNotReady guards against a VM that gets new connections though it can admit no key.
+func TestUnreadableKeysMakeNotReady(t *testing.T) {
+	h := newHarness()
+	h.setUp("r1")
+	h.write(withField(2, "tenants", `"all"`), 11)
+	h.onTick(h.now)
+	if reason := h.readiness.get(); reason != notReadyUnreadable {
+		t.Errorf("not ready for %q, want %q", reason, notReadyUnreadable)
+	}
+	_, d := h.admitCall("/stock/", "key")
+	wantRefusal(t, d, contract.ManifestInvalid, false)
+	if _, d := h.admitCall("/open/", ""); d == nil || d.refusal != nil {
+		t.Errorf("public route: decision %+v, want an attempt", d)
+	}
+	h.write(testManifest(3), 12)
+	if !h.isReady(h.now) {
+		t.Errorf("not ready for %q after a sound manifest", h.notReady(h.now))
+	}
+}
--- a/node/entry/metrics.go
+++ b/node/entry/metrics.go
@@ -23,6 +23,7 @@
 	manifest        prometheus.Gauge
 	manifestAge     prometheus.Gauge
 	unreadable      prometheus.Gauge
+	invalidFields   prometheus.Gauge
 	runners         *prometheus.GaugeVec
 	peers           *prometheus.GaugeVec
 	shards          prometheus.Gauge
@@ -117,7 +118,8 @@
 		manifest: newGauge("manifest_version", "Version of the manifest in force."),
 		manifestAge: newGauge("manifest_proof_age_seconds",
 			"Time since the store last confirmed that the manifest is the newest."),
-		unreadable: newGauge("manifest_unreadable", "1 if the newest manifest in the store can't be read, so that the one in force is not proved."),
+		unreadable:    newGauge("manifest_unreadable", "1 if the newest manifest in the store can't be read, so that the one in force is not proved."),
+		invalidFields: newGauge("manifest_invalid_fields", "Fields of the manifest in force that are invalid or can't be read."),
 		runners: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Namespace: metrics.Namespace, Name: "runners", Help: "Known runners by state.",
 		}, []string{"state"}),
@@ -146,7 +148,7 @@
 		m.replicaRefusals.WithLabelValues(string(reason))
 	}
 	r.MustRegister(m.quotaRefusals, m.replicaRefusals, m.bookings, m.quotaWaiting, m.booked)
-	r.MustRegister(m.sent, m.results, m.refused, m.orders, m.firstEvent, m.request, m.manifest, m.manifestAge, m.unreadable,
+	r.MustRegister(m.sent, m.results, m.refused, m.orders, m.firstEvent, m.request, m.manifest, m.manifestAge, m.unreadable, m.invalidFields,
 		m.runners, m.peers, m.shards, m.waiting, m.planner, m.blockedParts, m.blockedRequests, m.evacuated, m.pauses, m.rejectedStatements,
 		m.takeUps, m.streamRecords, m.cutAnswers)
 	m.replica = newReplicaMetrics(r)
--- a/node/entry/readiness.go
+++ b/node/entry/readiness.go
@@ -13,7 +13,7 @@
 const (
 	notReadyStopping   notReadyReason = "stopping"
 	notReadyNoManifest notReadyReason = "manifest_missing"    // none has been read
-	notReadyUnreadable notReadyReason = "manifest_unreadable" // the newest one can't be read
+	notReadyUnreadable notReadyReason = "manifest_unreadable" // the newest one, or none of its keys, can't be read
 	notReadyNoRunners  notReadyReason = "runners_missing"     // their list has not been read
 	notReadyStale      notReadyReason = "manifest_stale"      // the one in force may not be the newest
 )
@@ -43,10 +43,12 @@
 		return notReadyNoManifest
 	case !r.runnersListed:
 		return notReadyNoRunners
-	case r.freshness.Fresh(now) || !r.manifest.NeedsKeys:
+	case !r.manifest.NeedsKeys:
 		return ""
-	case r.freshness.Withdrawn():
+	case r.freshness.Withdrawn() && !r.freshness.Fresh(now), !r.manifest.AdmitsKeys():
 		return notReadyUnreadable
+	case r.freshness.Fresh(now):
+		return ""
 	}
 	return notReadyStale
 }
--- a/node/manifestcheck/inforce_test.go
+++ b/node/manifestcheck/inforce_test.go
@@ -40,7 +40,7 @@
 		{"none in force", "", http.StatusServiceUnavailable, "no manifest in force"},
 		{"other listener", "", http.StatusNotFound, "status 404"},
 		{"redirection", "", http.StatusFound, "status 302"},
-		{"no JSON", "ready\n", http.StatusOK, "manifest: decode"},
+		{"no JSON", "ready\n", http.StatusOK, "no valid JSON"},
 		{"keys not redacted", string(text), http.StatusOK, "tenants[0].keys[0] is not redacted"},
 		{"too large", strings.Repeat(" ", maxFetchBytes+1), http.StatusOK, "over 16777216 bytes"},
 	} {
