node/entry: A manifest of the same version, or of none, takes keys away too

What callers would have seen: a key that was taken away stayed in force for good if the operator did not count the version up; with a version that can't be read all keys ended. Cause: only versions ordered manifests; one of the version in force counted as the same, whatever it said. Change: where versions are equal or can't be read, the store's revisions decide within an era. After a restore they don't, so that an older copy brings no key back.

--- a/fleet/contract/manifest.go
+++ b/fleet/contract/manifest.go
@@ -77,7 +77,7 @@
 
 // Manifest is one version of the operators' configuration, built by Draft.Manifest. It does not change once built.
 type Manifest struct {
-	Version       int64
+	Version       int64 // zero: it can't be read
 	BodyBytes     int64 // longest body of a request in bytes; zero: not stated
 	NeedsKeys     bool  // requests on routes that are not public need a key
 	UnknownRoutes bool  // there are routes whose host can't be read
@@ -89,6 +89,13 @@
 	owners map[KeyHash]*Organisation
 }
 
+// WithVersion returns the same manifest with another version.
+func (m *Manifest) WithVersion(version int64) *Manifest {
+	out := *m
+	out.Version = version
+	return &out
+}
+
 // Route returns the host's route with the longest prefix of the path, or nil. The case of the host is ignored.
 func (m *Manifest) Route(host, path string) *Route {
 	for _, r := range m.routes[strings.ToLower(host)] {
--- a/fleet/contract/review/review.go
+++ b/fleet/contract/review/review.go
@@ -141,7 +141,10 @@
 	if next.Version > inForce.Version {
 		return nil
 	}
+	effect := " in force; the manifest would be ignored"
+	if next.Version == inForce.Version {
+		effect = " in force; VMs can't tell the two apart after an outage of the store"
+	}
 	return []Finding{{Severity: Error, Place: Place{Object: Manifest, Field: Version}, Text: "is " +
-		strconv.FormatInt(next.Version, 10) + ", not newer than " + strconv.FormatInt(inForce.Version, 10) +
-		" in force; the manifest would be ignored"}}
+		strconv.FormatInt(next.Version, 10) + ", not newer than " + strconv.FormatInt(inForce.Version, 10) + effect}}
 }
--- a/node/entry/manifest.go
+++ b/node/entry/manifest.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/mangopass/mangopass/duty/clock"
+	"github.com/mangopass/mangopass/fleet/contract"
 	"github.com/mangopass/mangopass/platform"
 )
 
@@ -9,9 +10,10 @@
 type manifestChange int
 
 const (
-	manifestOther manifestChange = iota // unreadable, or older than the one in force
-	manifestSame                        // of the version in force
-	manifestNew                         // now in force
+	manifestOther     manifestChange = iota // unreadable, or older than the one in force
+	manifestSame                            // the one in force
+	manifestNew                             // now in force
+	manifestUnordered                       // nothing says whether it is newer
 )
 
 // withdrawManifest takes note that the store holds no manifest that proves the one in force.
@@ -36,26 +38,45 @@
 		r.withdrawManifest("manifest rejected", "error", err.Error(), "revision", e.Revision)
 		return manifestOther
 	}
+	change := r.compareManifest(m, e.Revision)
+	if change == manifestUnordered {
+		r.withdrawManifest("manifest rejected", "error", "its version can't be read, and the store was restored", "revision", e.Revision)
+		return manifestOther
+	}
 	if r.freshness.Withdrawn() {
 		r.log.Info("manifest readable", "version", m.Version, "revision", e.Revision, "in_force", r.manifestVersion())
 		r.freshness.Restore()
 		r.metrics.unreadable.Set(0)
 	}
 	r.era.shown = m.Version
+	if change == manifestNew {
+		r.logInvalidFields(m, invalid)
+		r.enforceManifest(m, e, now)
+	}
+	return change
+}
+
+// compareManifest says what a manifest is beside the one in force. Versions decide, as far as they can be read and differ; the store's
+// revisions order the others within an era: an operator may have forgotten to count the version up.
+func (r *routing) compareManifest(m *contract.Manifest, revision int64) manifestChange {
 	switch {
-	case m.Version < r.manifestVersion():
+	case r.manifest == nil || m.Version > r.manifestVersion():
+		return manifestNew
+	case m.Version != 0 && m.Version < r.manifestVersion():
 		return manifestOther
-	case m.Version == r.manifestVersion():
+	case r.manifestAt.Era != r.era.newest && m.Version == 0:
+		return manifestUnordered
+	case r.manifestAt.Era != r.era.newest || revision <= r.manifestAt.Revision:
 		return manifestSame
 	}
-	r.metrics.invalidFields.Set(float64(len(invalid)))
-	if len(invalid) > 0 {
-		r.log.Error("manifest has invalid fields", "version", m.Version, "count", len(invalid),
-			"fields", invalid[:min(len(invalid), maxLoggedFields)])
-	}
+	return manifestNew
+}
+
+// enforceManifest puts a manifest in force. One whose version can't be read counts as of the version before.
+func (r *routing) enforceManifest(m *contract.Manifest, e platform.Entry, now clock.Instant) {
 	r.log.Info("manifest in force", "version", m.Version, "before", r.manifestVersion(),
 		"revision", e.Revision)
-	r.manifest, r.manifestSince = m, now
+	r.manifest, r.manifestSince = m.WithVersion(max(m.Version, r.manifestVersion())), now
 	r.showManifest(e.Value)
 	if m.BodyBytes > 0 {
 		r.bodyLimit.Store(m.BodyBytes)
@@ -65,6 +86,14 @@
 	for _, o := range m.Organisations {
 		r.quota(o, now).SetLimit(o.Limit, now)
 	}
-	r.metrics.manifest.Set(float64(m.Version))
-	return manifestNew
+	r.metrics.manifest.Set(float64(r.manifest.Version))
+}
+
+// logInvalidFields takes note of the parts of a manifest that can't be read.
+func (r *routing) logInvalidFields(m *contract.Manifest, invalid []error) {
+	r.metrics.invalidFields.Set(float64(len(invalid)))
+	if len(invalid) > 0 {
+		r.log.Error("manifest has invalid fields", "version", m.Version, "count", len(invalid),
+			"fields", invalid[:min(len(invalid), maxLoggedFields)])
+	}
 }
--- a/node/entry/manifest_test.go
+++ b/node/entry/manifest_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/mangopass/mangopass/fleet/contract"
+	"github.com/mangopass/mangopass/fleet/link"
 	"github.com/mangopass/mangopass/fleet/machine"
 	"github.com/mangopass/mangopass/platform"
 )
@@ -190,3 +191,60 @@
 		t.Errorf("not ready for %q after a sound manifest", h.notReady(h.now))
 	}
 }
+
+// TestRewrittenManifestTakesKeysAway guards against a key that stays in force because the manifest which takes it away has the version of
+// the one before, or one that can't be read: the store's revisions tell which is newer.
+func TestRewrittenManifestTakesKeysAway(t *testing.T) {
+	for name, version := range map[string]string{
+		"the same": `1`, "a string": `"2"`, "a fraction": `1.5`, "missing": ``, "null": `null`, "zero": `0`, "negative": `-1`, "two": `2,"version":3`,
+	} {
+		rewritten := strings.Replace(string(testManifest(1)), `["key"]`, `["stays"]`, 1)
+		rewritten = strings.Replace(rewritten, `"version":1`, `"version":`+version, 1)
+		if version == "" {
+			rewritten = strings.Replace(rewritten, `,"version":`, ``, 1)
+		}
+		for _, starts := range []bool{false, true} {
+			h := newHarness()
+			h.setUp("r1")
+			if starts {
+				h.manifest, h.manifestAt = nil, link.Position{}
+			}
+			h.write([]byte(rewritten), 11)
+			h.keepReading(h.rules.Revoke())
+			if _, d := h.admitCall("/stock/", "stays"); d == nil || d.refusal != nil {
+				t.Errorf("version %s, starts %v: decision %+v, want an attempt", name, starts, d)
+			}
+			_, d := h.admitCall("/stock/", "key")
+			wantRefusal(t, d, contract.InvalidKey, false)
+			h.apply(storeChanged{ // a listing shows it again
+				manifest: &platform.Entry{Key: platform.KeyManifest, Value: []byte(rewritten), Revision: 11}, position: at(12), complete: true, sent: h.now,
+			})
+			if h.freshness.Withdrawn() {
+				t.Errorf("version %s, starts %v: the manifest in force proves nothing once it is listed again", name, starts)
+			}
+			h.write(testManifest(2), 13)
+			if h.manifestVersion() != 2 {
+				t.Errorf("version %s, starts %v: manifest %d in force, want 2", name, starts, h.manifestVersion())
+			}
+		}
+	}
+}
+
+// TestRestoredManifestOfSameVersionGivesNoKeysBack guards against a removed key that an older copy of the store brings back, in a manifest
+// of the version in force or without a version.
+func TestRestoredManifestOfSameVersionGivesNoKeysBack(t *testing.T) {
+	older := testManifest(1)
+	for name, value := range map[string][]byte{"same version": older, "no version": []byte(strings.Replace(string(older), `"version":1`, `"version":"1"`, 1))} {
+		h := newHarness()
+		h.setUp("r1")
+		h.write([]byte(strings.Replace(string(older), `["key"]`, `["stays"]`, 1)), 11)
+		h.apply(storeChanged{
+			manifest: &platform.Entry{Key: platform.KeyManifest, Value: value, Revision: 9}, complete: true,
+			position: link.Position{Era: 1, Revision: 10}, sent: h.now,
+		})
+		h.keepReading(h.rules.Revoke() + lateRewrite)
+		if _, d := h.admitCall("/stock/", "key"); d == nil || d.refusal == nil {
+			t.Errorf("%s: decision %+v, want a refusal", name, d)
+		}
+	}
+}
