node/settings: Numbers may have fractions, and names count exactly

What would have happened: with revoke_ms as 5000.5 or ports as 7600.0 a process did not start; of two settings of one name, in any case, the last one counted. Cause: encoding/json, as with manifests. Change: settings are read by jsonfields.DecodeParts; times and the memory may have fractions. All unreadable fields are named, not the first. Measured: TestNumbersOfSettings failed before (ports: cannot unmarshal number 7600.0) and passes.

--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -90,7 +90,7 @@
 	registry := metrics.NewRegistry()
 	e.group = duty.NewGroup(context.Background())
 	e.routing = newRouting(e.settings, boot, e.log, newMetrics(registry))
-	budgets := vm.NewBudgets(vm.Limits{MemoryMB: e.settings.Limits.MemoryMB, Descriptors: e.settings.Limits.MaxFDs})
+	budgets := vm.NewBudgets(vm.Limits{MemoryMB: int(e.settings.Limits.MemoryMB), Descriptors: e.settings.Limits.MaxFDs})
 	debug.SetMemoryLimit(budgets.Collector)
 	e.callers = newAccountKeeper("callers", budgets.Callers, e.log, registry)
 	e.probes = newAccountKeeper("probes", budgets.Probes, e.log, registry)
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -3,7 +3,6 @@
 package settings
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/netip"
 	"os"
@@ -42,10 +41,10 @@
 
 // Rules holds the time limits, the retry budget and the quota tolerance that the operators set.
 type Rules struct {
-	RevokeMs     int     `json:"revoke_ms" doc:"a withdrawn key stops working within this time, in ms; keys are honoured for 3/4 of it after a proof"`
+	RevokeMs     float64 `json:"revoke_ms" doc:"a withdrawn key stops working within this time, in ms; keys are honoured for 3/4 of it after a proof"`
 	GraceS       float64 `json:"grace_s" doc:"longest planned stop, in s"`
-	LeaseMs      int     `json:"lease_ms" doc:"pause between the orders of two leaders of a shard, in ms"`
-	MinLeaseMs   int     `json:"min_lease_ms" doc:"shortest lease of the store, in ms"`
+	LeaseMs      float64 `json:"lease_ms" doc:"pause between the orders of two leaders of a shard, in ms"`
+	MinLeaseMs   float64 `json:"min_lease_ms" doc:"shortest lease of the store, in ms"`
 	RetryRatio   float64 `json:"retry_ratio" doc:"repeats for each request, over all VMs"`
 	RetryExtra   float64 `json:"retry_extra" doc:"repeats beyond that, over all VMs"`
 	RetryWindowS float64 `json:"retry_window_s" doc:"window of both, in s"`
@@ -57,8 +56,8 @@
 
 // Limits holds the limits of the VM's machine.
 type Limits struct {
-	MemoryMB int `json:"memory_mb" doc:"memory of the machine, in MB; from it follow the memory limit of the runtime and what callers may make the VM hold; a change needs a restart"`
-	MaxFDs   int `json:"max_fds" doc:"descriptors that the process may have open; 4/10 of those beyond 200 are for callers' connections; a change needs a restart"`
+	MemoryMB float64 `json:"memory_mb" doc:"memory of the machine, in MB; from it follow the memory limit of the runtime and what callers may make the VM hold; a change needs a restart"`
+	MaxFDs   int     `json:"max_fds" doc:"descriptors that the process may have open; 4/10 of those beyond 200 are for callers' connections; a change needs a restart"`
 }
 
 // Defaults and least values of the machine's limits. The defaults leave room for more than the clients of one VM need in calm.
@@ -90,16 +89,16 @@
 }
 
 // Revoke returns the time within which a withdrawn key must stop working.
-func (r Rules) Revoke() time.Duration { return time.Duration(r.RevokeMs) * time.Millisecond }
+func (r Rules) Revoke() time.Duration { return milliseconds(r.RevokeMs) }
 
 // Grace returns the longest duration of a planned stop.
 func (r Rules) Grace() time.Duration { return time.Duration(r.GraceS * float64(time.Second)) }
 
 // Lease returns the time that must pass between the last order of one leader of a shard and the first of the next.
-func (r Rules) Lease() time.Duration { return time.Duration(r.LeaseMs) * time.Millisecond }
+func (r Rules) Lease() time.Duration { return milliseconds(r.LeaseMs) }
 
 // MinLease returns the shortest lease of the store.
-func (r Rules) MinLease() time.Duration { return time.Duration(r.MinLeaseMs) * time.Millisecond }
+func (r Rules) MinLease() time.Duration { return milliseconds(r.MinLeaseMs) }
 
 // RetryWindow returns the window of the retry budget.
 func (r Rules) RetryWindow() time.Duration {
@@ -109,6 +108,13 @@
 // MaxPause returns the longest pause that a runner can ask of this VM.
 func (r Rules) MaxPause() time.Duration { return time.Duration(r.MaxPauseS * float64(time.Second)) }
 
+// maxMilliseconds keeps the times of the rules within the range of a duration.
+const maxMilliseconds = 1e12
+
+func milliseconds(n float64) time.Duration {
+	return time.Duration(min(n, maxMilliseconds) * float64(time.Millisecond))
+}
+
 // Load reads and validates a settings file. It also returns the file's text, so that a caller can detect later changes.
 // The error lists every invalid field by its path.
 func Load(path string) (*Entry, string, error) {
@@ -123,11 +129,16 @@
 // Parse decodes and validates settings. Unknown fields are ignored because the platform adds new ones.
 func Parse(data []byte) (*Entry, error) {
 	s := &Entry{Rules: defaultRules(), Limits: defaultLimits()}
-	if err := json.Unmarshal(data, s); err != nil {
+	problems, err := jsonfields.DecodeParts(data, s)
+	if err != nil {
 		return nil, errors.Wrap(err, "settings")
 	}
-	if err := s.validate(); err != nil {
-		return nil, err
+	var unreadable error
+	for _, p := range problems {
+		unreadable = joinLines(unreadable, errors.Wrap(p, "settings"))
+	}
+	if err := s.validate(); unreadable != nil || err != nil {
+		return nil, joinLines(unreadable, err)
 	}
 	return s, nil
 }
@@ -194,11 +205,14 @@
 	return fmt.Sprintf("%s:%d", s.IP, s.Ports[1])
 }
 
-// joinLines returns an error with the texts of both errors, one per line. a may be nil.
+// joinLines returns an error with the texts of both errors, one per line. Either may be nil.
 func joinLines(a, b error) error {
 	if a == nil {
 		return b
 	}
+	if b == nil {
+		return a
+	}
 	return errors.Newf("%s\n%s", a, b)
 }
 
--- a/node/settings/settings_test.go
+++ b/node/settings/settings_test.go
@@ -4,6 +4,7 @@
 	"os"
 	"strings"
 	"testing"
+	"time"
 )
 
 // TestTableIsOnThePage guards against an operators' page that lacks a setting or describes it differently, because a
@@ -41,6 +42,25 @@
 	}
 }
 
+// TestNumbersOfSettings guards against a process that does not start, or keeps its old rules, for how the platform writes a number in its
+// settings, and against settings that are taken from a field of another name or from one of two.
+func TestNumbersOfSettings(t *testing.T) {
+	with := func(rules string) string {
+		return `{"id": "n", "ip": "10.0.0.1", "zone": "z", "ports": [7600.0, 7615], "store": "10.0.0.9:80", "zones": {"z": "r"},
+			"listen": {"callers": "10.0.0.1:80", "ready": "10.0.0.1:81"}, "limits": {"memory_mb": 284.5, "max_fds": 4100.0}, "rules": {` + rules + `}}`
+	}
+	s, err := Parse([]byte(with(`"revoke_ms": 2500.5, "lease_ms": 3000.0, "grace_s": null, "Lease_ms": 1`)))
+	if err != nil || s.Rules.Revoke() != 2500500*time.Microsecond || s.Rules.Lease() != 3*time.Second || s.Rules.GraceS != defaultGraceS ||
+		s.Limits.MaxFDs != 4100 || s.Ports[0] != 7600 {
+		t.Errorf("settings %+v, %v", s, err)
+	}
+	for _, rules := range []string{`"revoke_ms": "5000"`, `"revoke_ms": 5000, "revoke_ms": 60000`, `"Revoke_ms": 60000`} {
+		if _, err := Parse([]byte(with(rules))); err == nil || !strings.Contains(err.Error(), "settings: rules.revoke_ms:") {
+			t.Errorf("%s: error %v, want one that names the field", rules, err)
+		}
+	}
+}
+
 // TestUnknownSettingsAreNamed guards against a misspelt setting that silently has its default: it is named, and is no error.
 func TestUnknownSettingsAreNamed(t *testing.T) {
 	text := []byte(`{"id":"n","zones":{"z":"r"},"rules":{"revoke_ms":1,"revok_ms":2},"listen":{"api":""},"extra":{"a":1}}`)
