--- a/node/entry/manifest.go
+++ b/node/entry/manifest.go
@@ -92,8 +92,12 @@
 // logInvalidFields takes note of the parts of a manifest that can't be read.
 func (r *routing) logInvalidFields(m *contract.Manifest, invalid []error) {
 	r.metrics.invalidFields.Set(float64(len(invalid)))
-	if len(invalid) > 0 {
-		r.log.Error("manifest has invalid fields", "version", m.Version, "count", len(invalid),
-			"fields", invalid[:min(len(invalid), maxLoggedFields)])
+	if len(invalid) == 0 {
+		return
 	}
+	var fields []string
+	for _, err := range invalid[:min(len(invalid), maxLoggedFields)] {
+		fields = append(fields, err.Error())
+	}
+	r.log.Error("manifest has invalid fields", "version", m.Version, "count", len(invalid), "fields", fields)
 }
