platform/jsonfields: Read the parts of a text in one pass

A manifest was read a second time for its redacted form. Change: one pass over the tokens; the redacted form is made from what has been read.

--- a/node/entry/manifest.go
+++ b/node/entry/manifest.go
@@ -33,11 +33,12 @@
 		r.withdrawManifest("manifest removed", "revision", e.Revision)
 		return manifestOther
 	}
-	m, invalid, err := platform.DecodeManifest(e.Value)
+	f, err := platform.DecodeManifest(e.Value)
 	if err != nil {
 		r.withdrawManifest("manifest rejected", "error", err.Error(), "revision", e.Revision)
 		return manifestOther
 	}
+	m := f.Draft.Manifest()
 	change := r.compareManifest(m, e.Revision)
 	if change == manifestUnordered {
 		r.withdrawManifest("manifest rejected", "error", "its version can't be read, and the store was restored", "revision", e.Revision)
@@ -50,8 +51,9 @@
 	}
 	r.era.shown = m.Version
 	if change == manifestNew {
-		r.logInvalidFields(m, invalid)
-		r.enforceManifest(m, e, now)
+		r.logInvalidFields(m, f.Invalid)
+		r.enforceManifest(m, e.Revision, now)
+		r.showManifest(f)
 	}
 	return change
 }
@@ -73,11 +75,10 @@
 }
 
 // enforceManifest puts a manifest in force. One whose version can't be read counts as of the version before.
-func (r *routing) enforceManifest(m *contract.Manifest, e platform.Entry, now clock.Instant) {
+func (r *routing) enforceManifest(m *contract.Manifest, revision int64, now clock.Instant) {
 	r.log.Info("manifest in force", "version", m.Version, "before", r.manifestVersion(),
-		"revision", e.Revision)
+		"revision", revision)
 	r.manifest, r.manifestSince = m.WithVersion(max(m.Version, r.manifestVersion())), now
-	r.showManifest(e.Value)
 	if m.BodyBytes > 0 {
 		r.bodyLimit.Store(m.BodyBytes)
 	}
--- a/node/entry/status.go
+++ b/node/entry/status.go
@@ -154,10 +154,10 @@
 }
 
 // showManifest keeps the manifest in force for operators, without its keys.
-func (r *routing) showManifest(value []byte) {
-	text, err := platform.RedactManifest(value)
+func (r *routing) showManifest(f *platform.ManifestFile) {
+	text, err := f.Redacted()
 	if err != nil {
-		panic(err) // the same text has been decoded before
+		panic(err) // all that has been read can be written
 	}
 	r.manifestText.Store(&text)
 }
--- a/node/manifestcheck/inforce_test.go
+++ b/node/manifestcheck/inforce_test.go
@@ -20,7 +20,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	redacted, err := platform.RedactManifest(text)
+	f, err := platform.ReadManifest(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	redacted, err := f.Redacted()
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -40,7 +44,7 @@
 		{"none in force", "", http.StatusServiceUnavailable, "no manifest in force"},
 		{"other listener", "", http.StatusNotFound, "status 404"},
 		{"redirection", "", http.StatusFound, "status 302"},
-		{"no JSON", "ready\n", http.StatusOK, "no valid JSON"},
+		{"no JSON", "ready\n", http.StatusOK, "no JSON object"},
 		{"keys not redacted", string(text), http.StatusOK, "tenants[0].keys[0] is not redacted"},
 		{"too large", strings.Repeat(" ", maxFetchBytes+1), http.StatusOK, "over 16777216 bytes"},
 	} {
