node/entry: A later manifest of a lower version takes keys away

What callers would have seen: a key that was taken away stayed in force for good, except in VMs that started later, if the operator had set the version back. Cause: a manifest with a lower version was ignored as a whole. Change: within an era of the store, the keys that a later write does not list for their organisation end, with 503; nothing else of it comes into force, since versions never go back.

--- a/fleet/contract/manifest.go
+++ b/fleet/contract/manifest.go
@@ -96,6 +96,21 @@
 	return &out
 }
 
+// WithKeysOf returns the same manifest with those keys only that another one lists for the same organisation, and the number of the
+// other keys. Requests with these count as ones with keys that can't be read.
+func (m *Manifest) WithKeysOf(other *Manifest) (*Manifest, int) {
+	out := *m
+	out.owners = make(map[KeyHash]*Organisation, len(m.owners))
+	for key, owner := range m.owners {
+		if o := other.owners[key]; o != nil && o.Name == owner.Name {
+			out.owners[key] = owner
+		}
+	}
+	removed := len(m.owners) - len(out.owners)
+	out.UnknownKeys = m.UnknownKeys || removed > 0
+	return &out, removed
+}
+
 // Route returns the host's route with the longest prefix of the path, or nil. The case of the host is ignored.
 func (m *Manifest) Route(host, path string) *Route {
 	for _, r := range m.routes[strings.ToLower(host)] {
--- a/node/entry/manifest.go
+++ b/node/entry/manifest.go
@@ -12,6 +12,7 @@
 const (
 	manifestOther     manifestChange = iota // unreadable, or older than the one in force
 	manifestSame                            // the one in force
+	manifestLate                            // written after the one in force, though its version is lower
 	manifestNew                             // now in force
 	manifestUnordered                       // nothing says whether it is newer
 )
@@ -50,7 +51,11 @@
 		r.metrics.unreadable.Set(0)
 	}
 	r.era.shown = m.Version
-	if change == manifestNew {
+	switch change {
+	case manifestLate:
+		r.withdrawKeys(m, e.Revision)
+		return manifestOther
+	case manifestNew:
 		r.logInvalidFields(m, f.Invalid)
 		r.enforceManifest(m, e.Revision, now)
 		r.showManifest(f)
@@ -61,17 +66,35 @@
 // compareManifest says what a manifest is beside the one in force. Versions decide, as far as they can be read and differ; the store's
 // revisions order the others within an era: an operator may have forgotten to count the version up.
 func (r *routing) compareManifest(m *contract.Manifest, revision int64) manifestChange {
+	if r.manifest == nil || m.Version > r.manifestVersion() {
+		return manifestNew
+	}
+	later := r.manifestAt.Era == r.era.newest && revision > r.manifestAt.Revision
+	lower := m.Version != 0 && m.Version < r.manifestVersion()
 	switch {
-	case r.manifest == nil || m.Version > r.manifestVersion():
+	case later && lower:
+		return manifestLate
+	case later:
 		return manifestNew
-	case m.Version != 0 && m.Version < r.manifestVersion():
+	case lower:
 		return manifestOther
-	case r.manifestAt.Era != r.era.newest && m.Version == 0:
+	case m.Version == 0 && r.manifestAt.Era != r.era.newest:
 		return manifestUnordered
-	case r.manifestAt.Era != r.era.newest || revision <= r.manifestAt.Revision:
-		return manifestSame
 	}
-	return manifestNew
+	return manifestSame
+}
+
+// withdrawKeys takes those keys out of force that a manifest with a lower version does not list. The rest of it does not come into force:
+// versions never go back. Whether its operator meant to take the keys away is not known, so their requests are not refused for good.
+func (r *routing) withdrawKeys(m *contract.Manifest, revision int64) {
+	if !m.NeedsKeys {
+		return
+	}
+	kept, removed := r.manifest.WithKeysOf(m)
+	if removed > 0 {
+		r.manifest = kept
+		r.log.Error("keys withdrawn", "keys", removed, "version", m.Version, "in_force", r.manifestVersion(), "revision", revision)
+	}
 }
 
 // enforceManifest puts a manifest in force. One whose version can't be read counts as of the version before.
--- a/node/entry/manifest_test.go
+++ b/node/entry/manifest_test.go
@@ -248,3 +248,29 @@
 		}
 	}
 }
+
+// TestLowerVersionTakesKeysAway guards against a key that stays in force because the manifest which takes it away was written later but
+// with a lower version. Nothing else of that manifest comes into force.
+func TestLowerVersionTakesKeysAway(t *testing.T) {
+	h := newHarness()
+	h.setUp("r1")
+	h.write([]byte(strings.Replace(string(testManifest(9)), `["key"]`, `["key","stays"]`, 1)), 11)
+	lower := withField(3, "tenants", `[{"name":"coop","keys":["stays","early"]},{"name":"other","keys":["key"]}]`)
+	lower = []byte(strings.Replace(string(lower), `"prefix":"/stock/"`, `"prefix":"/stocks/"`, 1))
+	h.apply(storeChanged{manifest: &platform.Entry{Key: platform.KeyManifest, Value: lower, Revision: 8}, position: at(11), sent: h.now})
+	if _, d := h.admitCall("/stock/", "key"); d == nil || d.refusal != nil {
+		t.Errorf("after an earlier write: decision %+v, want an attempt", d)
+	}
+	h.write(lower, 12)
+	h.keepReading(h.rules.Revoke())
+	if h.manifestVersion() != 9 {
+		t.Errorf("manifest %d in force, want 9", h.manifestVersion())
+	}
+	if _, d := h.admitCall("/stock/", "stays"); d == nil || d.refusal != nil {
+		t.Errorf("a key of both: decision %+v, want an attempt", d)
+	}
+	for _, key := range []string{"key", "early"} {
+		_, d := h.admitCall("/stock/", key)
+		wantRefusal(t, d, contract.ManifestInvalid, false)
+	}
+}
