fleet/machine: A model that the manifest no longer lists takes room

What callers would have seen: a runner that crashes when it is ordered to load more than it holds, after a manifest dropped a model that it has. Cause: its memory in use was added up with the sizes in the manifest in force; a model without an entry counted 0 MB. Change: such a model counts as all of the runner's memory, so that it is unloaded before anything is loaded beside it.

--- a/fleet/machine/localstate.go
+++ b/fleet/machine/localstate.go
@@ -109,9 +109,13 @@
 	return used
 }
 
-// replicaMB returns the memory that a model and its adapters take on a runner, in MB.
+// replicaMB returns the memory that a model and its adapters take on a runner, in MB. A model that the manifest does not list could take
+// all of it: nothing is loaded beside it, and it is unloaded first.
 func replicaMB(replica *Replica, engine *contract.Engine) float64 {
-	m := engine.Models[replica.Model]
+	m, listed := engine.Models[replica.Model]
+	if !listed {
+		return engine.WeightsMB
+	}
 	return m.WeightsMB + float64(len(replica.Adapters))*m.AdapterMB
 }
 
