node/entry: The API too refuses for good only what the manifest can be read to refuse

What callers would have seen: the API's list of routes answered 401 for a key, and a route's name 404, that the manifest may state in a part which can't be read, and listed routes for a key of an organisation that can't be read. Cause: the API checked keys and routes by itself. Change: Manifest.Authenticate and NoRoute decide for both front ends. Measured: TestRouteQueriesUnderPartlyReadableManifest failed before in three of five queries and passes; go test ./node/entry ./fleet/contract ./platform passes.

--- a/fleet/contract/manifest.go
+++ b/fleet/contract/manifest.go
@@ -157,6 +157,14 @@
 // Owner returns the organisation to which a key belongs, or nil.
 func (m *Manifest) Owner(k KeyHash) *Organisation { return m.owners[k] }
 
+// NoRoute returns the refusal of a request for which there is no route that can be read.
+func (m *Manifest) NoRoute(detail string) *Refusal {
+	if m.UnknownRoutes {
+		return Refuse(ManifestInvalid, invalidRetryAfter, "the manifest has routes that can't be read")
+	}
+	return Refuse(RouteNotFound, 0, "%s", detail)
+}
+
 // AdmitsKeys reports whether requests with a key can be admitted, or refused for good.
 func (m *Manifest) AdmitsKeys() bool { return len(m.owners) > 0 || !m.UnknownKeys }
 
@@ -174,27 +182,31 @@
 func (m *Manifest) Admit(r *Request) (Admission, *Refusal) {
 	route := m.Route(r.Host, r.Path)
 	switch {
-	case route == nil && m.UnknownRoutes:
-		return Admission{}, Refuse(ManifestInvalid, invalidRetryAfter, "the manifest has routes that can't be read")
 	case route == nil:
-		return Admission{}, Refuse(RouteNotFound, 0, "no route for host and path")
+		return Admission{}, m.NoRoute("no route for host and path")
 	case route.Invalid:
 		return Admission{}, Refuse(ManifestInvalid, invalidRetryAfter, "the route can't be read in the manifest")
 	}
 	if route.Public || !m.NeedsKeys {
 		return Admission{Route: route}, nil
 	}
-	var owner *Organisation
-	if r.HasKey {
-		owner = m.Owner(r.Key)
+	owner, refusal := m.Authenticate(r.Key, r.HasKey)
+	if refusal != nil {
+		return Admission{}, refusal
 	}
+	return Admission{Route: route, Organisation: owner}, nil
+}
+
+// Authenticate returns the organisation to which a request's key belongs, or the refusal of the request.
+func (m *Manifest) Authenticate(key KeyHash, hasKey bool) (*Organisation, *Refusal) {
+	owner := m.owners[key]
 	switch {
-	case owner == nil && r.HasKey && m.UnknownKeys:
-		return Admission{}, Refuse(ManifestInvalid, invalidRetryAfter, "the manifest has keys that can't be read")
+	case !hasKey || owner == nil && !m.UnknownKeys:
+		return nil, Refuse(InvalidKey, 0, "the request carries no valid key")
 	case owner == nil:
-		return Admission{}, Refuse(InvalidKey, 0, "the request carries no valid key")
+		return nil, Refuse(ManifestInvalid, invalidRetryAfter, "the manifest has keys that can't be read")
 	case owner.Invalid:
-		return Admission{}, Refuse(ManifestInvalid, invalidRetryAfter, "the organisation can't be read in the manifest")
+		return nil, Refuse(ManifestInvalid, invalidRetryAfter, "the organisation can't be read in the manifest")
 	}
-	return Admission{Route: route, Organisation: owner}, nil
+	return owner, nil
 }
--- a/node/entry/api.go
+++ b/node/entry/api.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"math"
 	"net/http"
@@ -269,9 +270,10 @@
 		if route := r.manifest.RouteNamed(q.name); route != nil {
 			return []*contract.Route{route}, nil
 		}
-		return nil, contract.Refuse(contract.RouteNotFound, 0, "no route is named %q", q.name)
-	case !q.hasKey || r.manifest.Owner(q.key) == nil:
-		return nil, contract.Refuse(contract.InvalidKey, 0, "the request carries no valid key")
+		return nil, r.manifest.NoRoute(fmt.Sprintf("no route is named %q", q.name))
+	}
+	if _, refusal := r.manifest.Authenticate(q.key, q.hasKey); refusal != nil {
+		return nil, refusal
 	}
 	routes := r.manifest.Routes()
 	slices.SortFunc(routes, func(a, b *contract.Route) int { return strings.Compare(a.Name, b.Name) })
--- a/node/entry/api_test.go
+++ b/node/entry/api_test.go
@@ -47,6 +47,26 @@
 	}
 }
 
+// TestRouteQueriesUnderPartlyReadableManifest guards callers of the API against 401 or 404 for a key or a route that the manifest may state
+// in a part which can't be read.
+func TestRouteQueriesUnderPartlyReadableManifest(t *testing.T) {
+	h := newHarness()
+	h.setUp("r1")
+	h.write(withField(2, "tenants", `[{"name":"coop","keys":["key",7]},{"name":7,"keys":["other"]}]`), 11)
+	for key, want := range map[string]contract.Code{
+		"key": "", "other": contract.ManifestInvalid, "unknown": contract.ManifestInvalid, "": contract.InvalidKey,
+	} {
+		reply := h.queryRoutes(routesQuery{key: contract.HashKey(key), hasKey: key != ""})
+		if got := codeOf(reply.refusal); got != want {
+			t.Errorf("key %q: refusal %q, want %q", key, got, want)
+		}
+	}
+	h.write(withField(3, "routes", `7`), 12)
+	if got := codeOf(h.queryRoutes(routesQuery{name: "stock"}).refusal); got != contract.ManifestInvalid {
+		t.Errorf("no route can be read: refusal %q, want %q", got, contract.ManifestInvalid)
+	}
+}
+
 func codeOf(r *contract.Refusal) contract.Code {
 	if r == nil {
 		return ""
